--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -29,6 +29,7 @@
 	arrivals chan<- *call
 	gone     chan<- *call
 	stopped  <-chan struct{}
+	stats    *stats
 	ready    func() bool
 	closing  func() bool // every answer ends its connection
 }
@@ -44,6 +45,7 @@
 	}
 	c, status, err := h.read(w, r)
 	if err != nil {
+		h.stats.count(func(s *stats) { s.turned = turned{s.turned.n + 1, err.Error()} })
 		w.Header().Set("Connection", "close") // the body may not have been read to its end
 		http.Error(w, err.Error(), status)
 		return
@@ -72,6 +74,9 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, errors.New("the method is GET or POST")
 	}
+	if r.ContentLength < 0 {
+		h.stats.count(func(s *stats) { s.chunked++ })
+	}
 	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1)}
 	c.req.ID = r.Header.Get("X-Call-Id")
 	c.req.Class = r.Header.Get("X-Call-Class")
@@ -169,10 +174,11 @@
 type bounded struct {
 	net.Listener
 	places chan struct{}
+	stats  *stats
 }
 
-func bound(ln net.Listener, most int) *bounded {
-	return &bounded{ln, make(chan struct{}, most)}
+func bound(ln net.Listener, most int, stats *stats) *bounded {
+	return &bounded{ln, make(chan struct{}, most), stats}
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -182,6 +188,7 @@
 		<-b.places
 		return nil, err
 	}
+	b.stats.count(func(s *stats) { s.accepted++ })
 	return &placed{Conn: c, free: sync.OnceFunc(func() { <-b.places })}, nil
 }
 
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := bound(ln, 1)
+	b := bound(ln, 1, &stats{})
 	accepted := make(chan net.Conn)
 	go func() {
 		for {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -84,6 +84,8 @@
 	calls   map[string]*call
 	targets map[string]*target
 	wakes   wakeHeap
+	stats   stats
+	out     int         // attempts without an ending
 	usable  atomic.Bool // some listed server is in service
 }
 
@@ -98,6 +100,8 @@
 func (l *loop) run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
 	for {
 		// News of the servers goes ahead of waiting traffic: the grace of a drain is running.
 		select {
@@ -122,13 +126,17 @@
 			l.takeCall(c)
 		case c := <-l.gone:
 			if !c.closed.Swap(true) {
+				l.stats.left++
 				l.handle(deckrelay.ClientGone{ID: c.req.ID})
 				l.forget(c)
 			}
 		case r := <-l.results:
 			l.takeResult(r)
 		case <-timer.C:
+		case <-report.C:
+			l.stats.report(l.log, len(l.calls), l.out)
 		case <-l.stop:
+			l.stats.report(l.log, len(l.calls), l.out)
 			return
 		}
 	}
@@ -160,6 +168,7 @@
 		return
 	}
 	l.calls[c.req.ID] = c
+	l.stats.taken++
 	l.handle(c.req)
 }
 
@@ -177,6 +186,7 @@
 	}
 	c.attempts++
 	c.out++
+	l.out++
 	l.sender.start(att)
 }
 
@@ -187,6 +197,7 @@
 		return
 	}
 	c.reply <- a
+	l.stats.answered(a.status, c.attempts)
 	l.forget(c)
 }
 
@@ -200,7 +211,11 @@
 func (l *loop) takeResult(r result) {
 	c := r.att.call
 	c.out--
+	l.out--
+	l.stats.endings[r.ending]++
+	l.stats.waited += l.clock.now() - r.att.started
 	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
+		l.stats.answered(http.StatusOK, c.attempts)
 		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
 	}
 	l.handle(deckrelay.Outcome{ID: c.req.ID, Attempt: r.att.n, Server: r.att.target.id, Ending: r.ending,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,7 @@
 
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
-			gone: n.loop.gone, stopped: n.loop.stop, ready: n.ready,
+			gone: n.loop.gone, stopped: n.loop.stop, stats: &n.loop.stats, ready: n.ready,
 			closing: func() bool { return n.state.Load() >= closing }},
 		ReadHeaderTimeout: readTime,
 		IdleTimeout:       idleTime,
@@ -105,7 +105,7 @@
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(bound(ln, n.inbound)) }()
+	go func() { failed <- server.Serve(bound(ln, n.inbound, &n.loop.stats)) }()
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "tier", n.cfg.Settings.Tier)
 
 	var err error
