Turn down requests whose framing hides another: chunked, HTTP/1.0, GET with a body

Its own lines showed that every chunked request came with an empty body: Content-Length beside Transfer-Encoding, of which net/http takes the chunks and hides the length, so the rest of the body was read as the next request. The same hole stood open at /ready and for HTTP/1.0 with chunks. Ruled out: a resend by the pool (the ids were those of the inner requests and each was sent once).

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -35,6 +35,10 @@
 }
 
 func (h *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if status, err := framing(r); err != nil {
+		h.turnDown(w, status, err)
+		return
+	}
 	if r.URL.Path == "/ready" {
 		status := http.StatusOK
 		if !h.ready() {
@@ -45,9 +49,7 @@
 	}
 	c, status, err := h.read(w, r)
 	if err != nil {
-		h.stats.count(func(s *stats) { s.turned = turned{s.turned.n + 1, err.Error()} })
-		w.Header().Set("Connection", "close") // the body may not have been read to its end
-		http.Error(w, err.Error(), status)
+		h.turnDown(w, status, err)
 		return
 	}
 	select {
@@ -66,6 +68,29 @@
 	}
 }
 
+// turnDown answers what is no proper request and ends its connection: the body may not have been read to
+// its end, and what follows on the connection need not be a request.
+func (h *callers) turnDown(w http.ResponseWriter, status int, err error) {
+	h.stats.count(func(s *stats) { s.turned = turned{s.turned.n + 1, err.Error()} })
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+// framing says with which status to turn down a request whose end callers and the node could see at different
+// places: the rest of its body would pass as a request of its own. net/http takes a chunked body even beside a
+// Content-Length, which it hides, and ignores chunking in HTTP/1.0; callers always state the length.
+func framing(r *http.Request) (int, error) {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return http.StatusHTTPVersionNotSupported, errors.New("that version of HTTP is not spoken here")
+	case r.ContentLength < 0:
+		return http.StatusLengthRequired, errors.New("Content-Length is missing")
+	case r.Method == http.MethodGet && r.ContentLength > 0:
+		return http.StatusBadRequest, errors.New("a GET has no body")
+	}
+	return 0, nil
+}
+
 // read turns an HTTP request into a call, or says with which status to turn it down.
 func (h *callers) read(w http.ResponseWriter, r *http.Request) (*call, int, error) {
 	bad := func(format string, args ...any) (*call, int, error) {
@@ -74,9 +99,6 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, errors.New("the method is GET or POST")
 	}
-	if r.ContentLength < 0 {
-		h.stats.count(func(s *stats) { s.chunked++ })
-	}
 	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1)}
 	c.req.ID = r.Header.Get("X-Call-Id")
 	c.req.Class = r.Header.Get("X-Call-Class")
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -60,6 +61,44 @@
 	}
 }
 
+// A request that stands inside the body of another is none, however the body's end is disguised: the outer one
+// is turned down and its connection closed before the inner one is read.
+func TestNoRequestOutOfABody(t *testing.T) {
+	b := newBackend(t, ok)
+	n := startWith(t, b)
+	fields := func(id string) string {
+		return "Host: s\r\nX-Call-Id: " + id + "\r\nX-Call-Class: unsafe\r\nX-Budget: 30000m\r\n"
+	}
+	inner := "POST /api HTTP/1.1\r\n" + fields("inner") + "Content-Length: 0\r\n\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len("0\r\n\r\n"+inner))
+	for name, outer := range map[string]string{
+		"length and chunks":           "POST /api HTTP/1.1\r\n" + fields("1") + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"length and chunks at /ready": "GET /ready HTTP/1.1\r\nHost: s\r\n" + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":          "POST /api HTTP/1.0\r\nConnection: keep-alive\r\n" + fields("2") + "Transfer-Encoding: chunked\r\n\r\n",
+		"GET with a body":             "GET /api HTTP/1.1\r\n" + fields("3") + length + "\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, outer+inner); err != nil {
+				t.Fatal(err)
+			}
+			c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			said, _ := io.ReadAll(c) // the close may be a reset, for what follows is not read
+			if answers := strings.Count(string(said), "HTTP/1."); answers != 1 || !strings.Contains(string(said), " 4") &&
+				!strings.Contains(string(said), " 505 ") {
+				t.Errorf("got %q, want one 4xx or 505 and a close", said)
+			}
+		})
+	}
+	if got := b.requests(); got != 0 {
+		t.Errorf("%d requests reached a server", got)
+	}
+}
+
 // An unsafe request whose kept connection broke may have run: http.Transport would send it again by
 // itself, since the key invites it.
 func TestNoHiddenResend(t *testing.T) {
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -14,9 +14,8 @@
 
 // stats counts what a node did since its last report. Each report starts them anew.
 type stats struct {
-	mu       sync.Mutex // the HTTP server's goroutines count the next three
+	mu       sync.Mutex // the HTTP server's goroutines count the next two
 	accepted int        // connections from callers
-	chunked  int        // requests whose body came without a length
 	turned   turned
 
 	// The loop's alone.
@@ -61,8 +60,8 @@
 // report logs the counts of the time since the last one, if there are any, and starts anew.
 func (s *stats) report(log *slog.Logger, open, out int) {
 	s.mu.Lock()
-	accepted, chunked, down := s.accepted, s.chunked, s.turned
-	s.accepted, s.chunked, s.turned = 0, 0, turned{}
+	accepted, down := s.accepted, s.turned
+	s.accepted, s.turned = 0, turned{}
 	s.mu.Unlock()
 	ended := 0
 	attempts := make([]any, 0, len(s.endings)+1)
@@ -80,7 +79,7 @@
 	}
 	log.Info("counts", "taken", s.taken, "served", s.served, "refused", s.refused, "failed", s.failed, "left", s.left,
 		"unsent", s.unsent, "open", open, "out", out, slog.Group("ended", attempts...),
-		"accepted", accepted, "chunked", chunked, "turned_down", down.n, "reason", down.last)
+		"accepted", accepted, "turned_down", down.n, "reason", down.last)
 	s.taken, s.served, s.refused, s.failed, s.left, s.unsent = 0, 0, 0, 0, 0, 0
 	s.endings, s.waited = [deckrelay.Void + 1]int{}, 0
 }
