Bound what an answer's header and framing may take, and log why attempts broke

All ended as attempts that may have run, as they must; but an answer's header had no bound, nor had interim answers, so an endless one held memory and its request until the deadline. Such an answer now ends at once.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -59,6 +59,7 @@
 	load        *deckrelay.Load
 	contentType string
 	body        []byte
+	err         error // why there is no answer
 }
 
 // sender carries attempts to servers. No method may block.
@@ -214,6 +215,9 @@
 	l.out--
 	l.stats.endings[r.ending]++
 	l.stats.waited += l.clock.now() - r.att.started
+	if r.err != nil {
+		l.stats.fault = r.err.Error()
+	}
 	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
 		l.stats.answered(http.StatusOK, c.attempts)
 		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// An answer that never ends is unreadable, not a matter of time or of memory.
+func TestEndlessAnswers(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"a header":        {"HTTP/1.1 200 OK\r\n", "X-More: more\r\n"},
+		"interim answers": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"a body":          {"HTTP/1.1 200 OK\r\n\r\n", "more"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, parts[0]+strings.Repeat(parts[1], 2*maxFramed/len(parts[1])))
+				io.Copy(io.Discard, c) // until the node closes
+				return false
+			})
+			begin := time.Now()
+			if status, _, _ := do(t, newRequest(t, startWith(t, b).url, "unsafe", "1", "x")); status != http.StatusBadGateway {
+				t.Errorf("answered %d, want 502: it may have run", status)
+			}
+			if took := time.Since(begin); took > 15*time.Second { // of 30 s that it had
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+}
+
 // Boot times are clock times of the node; none stays none.
 func TestBootIsClockTime(t *testing.T) {
 	ck := newClock()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -18,7 +18,11 @@
 	"deckrelay"
 )
 
-const maxBody = 64 << 10 // of a request or an answer
+const (
+	maxBody   = 64 << 10    // of a request or an answer
+	maxHeader = 16 << 10    // of an answer, with the interim ones before it
+	maxFramed = 8 * maxBody // of an answer's body with its chunks' framing
+)
 
 // target is a server at one address, from one start of it to the next.
 type target struct {
@@ -68,6 +72,7 @@
 	net.Conn
 	pool    *pool
 	target  *target
+	in      *io.LimitedReader // what an answer may still take: net/http sets no bound to an answer's header
 	br      *bufio.Reader
 	replies chan reply
 
@@ -96,29 +101,29 @@
 
 // attempt makes the one send of an attempt and waits for what comes back.
 func (p *pool) attempt(att *attempt) result {
-	ended := func(e deckrelay.Ending) result { return result{att: att, ending: e} }
+	ended := func(e deckrelay.Ending, why error) result { return result{att: att, ending: e, err: why} }
 	if !p.maySend(att) {
-		return ended(deckrelay.Void)
+		return ended(deckrelay.Void, nil)
 	}
 	c, err := p.take(att)
 	if err != nil {
-		return ended(deckrelay.Unreachable)
+		return ended(deckrelay.Unreachable, err)
 	}
 	// Connecting takes time: the request may be over by now, or the server may have been told to drain.
 	if !p.maySend(att) {
 		p.park(c)
-		return ended(deckrelay.Void)
+		return ended(deckrelay.Void, nil)
 	}
 	if _, err := c.Write(p.message(att)); err != nil {
 		p.close(c)
-		return ended(deckrelay.Unreachable) // the last byte was not written
+		return ended(deckrelay.Unreachable, err) // the last byte was not written
 	}
 	r := <-c.replies
 	switch {
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
-		return ended(deckrelay.TimedOut) // the reader has closed the connection
+		return ended(deckrelay.TimedOut, nil) // the reader has closed the connection
 	case r.err != nil:
-		return ended(deckrelay.Broken)
+		return ended(deckrelay.Broken, r.err)
 	}
 	res := result{att: att, ending: ending(r.resp), load: load(r.resp.Header),
 		contentType: r.resp.Header.Get("Content-Type"), body: r.body}
@@ -228,8 +233,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, pool: p, target: t, br: bufio.NewReaderSize(nc, 4<<10), replies: make(chan reply, 1),
-		deadline: deadline}
+	in := &io.LimitedReader{R: nc}
+	c := &conn{Conn: nc, pool: p, target: t, in: in, br: bufio.NewReaderSize(in, 4<<10),
+		replies: make(chan reply, 1), deadline: deadline}
 	p.open[c] = true
 	nc.SetDeadline(deadline)
 	p.wg.Add(1)
@@ -311,6 +317,7 @@
 // connection that is closed, gets bytes nobody asked for or is idle for long is dropped.
 func (c *conn) read() {
 	for {
+		c.in.N = maxHeader
 		_, err := c.br.Peek(1)
 		c.pool.mu.Lock()
 		idle := c.place != nil
@@ -349,6 +356,7 @@
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		c.in.N = maxFramed
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		if err == nil && len(body) > maxBody {
 			err = errors.New("answer too large")
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -23,6 +23,7 @@
 	unsent                               int // refused or failed without an attempt
 	endings                              [deckrelay.Void + 1]int
 	waited                               time.Duration // over all attempts that ended
+	fault                                string        // why the last attempt that lacks an answer does
 }
 
 // turned is what was turned down before the module saw it.
@@ -64,7 +65,7 @@
 	s.accepted, s.turned = 0, turned{}
 	s.mu.Unlock()
 	ended := 0
-	attempts := make([]any, 0, len(s.endings)+1)
+	attempts := make([]any, 0, len(s.endings)+2)
 	for e, n := range s.endings {
 		ended += n
 		if n > 0 {
@@ -77,9 +78,12 @@
 	if ended > 0 {
 		attempts = append(attempts, slog.Duration("mean", s.waited/time.Duration(ended)))
 	}
+	if s.fault != "" {
+		attempts = append(attempts, slog.String("fault", s.fault))
+	}
 	log.Info("counts", "taken", s.taken, "served", s.served, "refused", s.refused, "failed", s.failed, "left", s.left,
 		"unsent", s.unsent, "open", open, "out", out, slog.Group("ended", attempts...),
 		"accepted", accepted, "turned_down", down.n, "reason", down.last)
 	s.taken, s.served, s.refused, s.failed, s.left, s.unsent = 0, 0, 0, 0, 0, 0
-	s.endings, s.waited = [deckrelay.Void + 1]int{}, 0
+	s.endings, s.waited, s.fault = [deckrelay.Void + 1]int{}, 0, ""
 }
