Take SIGHUP: read the configuration again and move the watch to the new discovery

A watch that is cut off now also keeps the version that the loop has really taken, else the news in hand at the cut would be skipped.

--- a/cmd/quaywick/main.go
+++ b/cmd/quaywick/main.go
@@ -24,7 +24,10 @@
 }
 
 func run() error {
-	cfg, err := node.LoadConfig(os.Getenv("ROUTER_CONFIG"))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // first of all: untaken, it would end the program
+	path := os.Getenv("ROUTER_CONFIG")
+	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -34,11 +37,25 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
-	n, err := node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	n, err := node.New(cfg, logger)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return n.Run(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-reload:
+			if cfg, err := node.LoadConfig(path); err != nil {
+				logger.Error("the new configuration is of no use, the old one stays", "err", err)
+			} else {
+				n.Reconfigure(cfg)
+			}
+		}
+	}
 }
--- a/cmd/quaywick/main_test.go
+++ b/cmd/quaywick/main_test.go
@@ -40,14 +40,28 @@
  "settings":{"limits":{"conn-idle-ms":30000,"connect-timeout-ms":75},
   "lanes":[{"name":"a","target-ms":100,"deadline-ms":200,"worth":1}]}}`
 
-func TestServesUntilSIGTERM(t *testing.T) {
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// newAgent is a discovery that keeps its watches open; it says when one begins.
+func newAgent(t *testing.T) (addr string, watched <-chan struct{}) {
+	t.Helper()
+	began := make(chan struct{}, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, `{"seq":2,"whole":false,"hosts":[]}`)
 		w.(http.Flusher).Flush()
+		began <- struct{}{}
 		<-r.Context().Done()
 	}))
-	defer agent.Close()
-	c := program(t, fmt.Sprintf(config, agent.Listener.Addr()))
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String(), began
+}
+
+// SIGHUP moves the watch to the discovery that the file now names, an unusable file changes nothing, and only
+// SIGTERM ends the program.
+func TestServesThroughSIGHUPUntilSIGTERM(t *testing.T) {
+	agent, watched := newAgent(t)
+	c := program(t, fmt.Sprintf(config, agent))
 	stderr, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -55,17 +69,33 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	listen := regexp.MustCompile(`msg=serving .*listen=(\S+)`)
 	lines := bufio.NewScanner(stderr)
-	var addr string
-	for addr == "" && lines.Scan() {
-		if m := listen.FindStringSubmatch(lines.Text()); m != nil {
-			addr = m[1]
+	await := func(what string) (found string) {
+		t.Helper()
+		line := regexp.MustCompile(what)
+		for lines.Scan() {
+			if m := line.FindStringSubmatch(lines.Text()); m != nil {
+				return m[len(m)-1]
+			}
 		}
+		t.Fatalf("it ended without saying %q: %v", what, c.Wait())
+		return ""
 	}
-	if addr == "" {
-		t.Fatalf("it ended without serving: %v", c.Wait())
+	signal := func(s os.Signal) {
+		t.Helper()
+		if err := c.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
 	}
+	configure := func(text string) {
+		t.Helper()
+		path := strings.TrimPrefix(c.Env[len(c.Env)-1], "ROUTER_CONFIG=")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		signal(syscall.SIGHUP)
+	}
+	addr := await(`msg=serving .*listen=(\S+)`)
 	for ready := false; !ready; {
 		resp, err := http.Get("http://" + addr + "/ready")
 		if err != nil {
@@ -74,9 +104,13 @@
 		resp.Body.Close()
 		ready = resp.StatusCode == http.StatusOK
 	}
-	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	<-watched
+	configure("{")
+	await("the old one stays")
+	moved, watched := newAgent(t)
+	configure(fmt.Sprintf(config, moved))
+	<-watched
+	signal(syscall.SIGTERM)
 	for lines.Scan() {
 	}
 	if err := c.Wait(); err != nil {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"deckrelay"
@@ -65,7 +66,6 @@
 // discovery keeps a watch on the list. Where lists are pushed it mends a broken watch by itself;
 // where they are asked for, the module says when to ask.
 type discovery struct {
-	base    string
 	asked   bool
 	seq     int64
 	log     *slog.Logger
@@ -73,11 +73,14 @@
 	tell    func(context.Context, news) error // hands news to the loop
 	asks    chan struct{}                     // the module's wish for a watch
 	silence time.Duration
+
+	mu   sync.Mutex
+	addr string
+	cut  context.CancelCauseFunc // ends the watch that is on; nil: none is
 }
 
 func newDiscovery(cfg Config, log *slog.Logger, tell func(context.Context, news) error) *discovery {
-	return &discovery{base: "http://" + cfg.Discovery + "/v1/endpoints", asked: cfg.Settings.AskDiscovery,
-		seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1), silence: silence,
+	return &discovery{addr: cfg.Discovery, asked: cfg.Settings.AskDiscovery, seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1), silence: silence,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableKeepAlives:  true,
@@ -93,6 +96,22 @@
 	}
 }
 
+var errMoved = errors.New("discovery has moved")
+
+// move turns to another address. A watch that is on goes on there at once, from the version held.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.addr = addr
+	if d.cut != nil {
+		d.cut(errMoved)
+	}
+	d.subscribe()
+}
+
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	wait := retryMin
@@ -109,6 +128,9 @@
 			return
 		}
 		d.log.Warn("watch of discovery ended", "lines", lines, "err", err)
+		if errors.Is(err, errMoved) {
+			continue
+		}
 		if d.asked {
 			d.tell(ctx, news{failed: true}) // fails only as ctx ends
 			continue
@@ -131,6 +153,14 @@
 func (d *discovery) watch(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	d.mu.Lock()
+	d.cut = cancel
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.cut = nil
+	}()
 	first := d.silence
 	if d.asked {
 		first = patience
@@ -188,12 +218,18 @@
 }
 
 func (d *discovery) take(ctx context.Context, n roster) error {
-	d.seq = n.Seq
-	return d.tell(ctx, news{list: n})
+	if err := d.tell(ctx, news{list: n}); err != nil {
+		return withCause(ctx, err)
+	}
+	d.seq = n.Seq // not before the loop has it: the next watch goes on from here
+	return nil
 }
 
 func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+query, nil)
+	d.mu.Lock()
+	addr := d.addr
+	d.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -115,6 +115,31 @@
 	wantCall(t, a, "watch 1")
 }
 
+// A node told that discovery has moved goes on there at once, from what it holds, also with news that the loop
+// has not taken yet.
+func TestWatchMoves(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			a, addr := newAgent(t, wholeList)
+			b, moved := newAgent(t, wholeList)
+			d, heard := watchOn(t, addr, mode, time.Minute)
+			d.subscribe()
+			wantCall(t, a, "watch 1")
+			a.lines <- `{"seq":43,"whole":false,"hosts":[]}`
+			if n := <-heard; n.list.Seq != 43 {
+				t.Fatalf("heard %+v", n)
+			}
+			a.lines <- `{"seq":44,"whole":false,"hosts":[]}` // and nobody takes it
+			d.move(moved)
+			wantCall(t, b, "watch 43")
+			b.lines <- `{"seq":44,"whole":false,"hosts":[]}`
+			if n := <-heard; n.list.Seq != 44 || n.failed {
+				t.Fatalf("heard %+v", n)
+			}
+		})
+	}
+}
+
 // Where the list is asked for, the module says when: the node calls only then, and reports failures.
 func TestAskedMode(t *testing.T) {
 	a, addr := newAgent(t, wholeList)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,12 @@
 	return n.serve(ctx, ln)
 }
 
+// Reconfigure takes over what may change while a node runs: the address of discovery.
+func (n *Node) Reconfigure(cfg Config) {
+	n.log.Info("reconfigured", "discovery", cfg.Discovery)
+	n.disc.move(cfg.Discovery)
+}
+
 func (n *Node) serve(ctx context.Context, ln net.Listener) error {
 	var owned sync.WaitGroup
 	own := func(f func()) {
