End a connection whose client has gone without an answer, not with an empty 200

A handler of net/http that returns without writing answers 200. A client that closes only its own side of the connection is taken for gone, rightly, but then read that 200: an answer that no server made.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -56,7 +56,7 @@
 	select {
 	case h.arrivals <- c:
 	case <-h.stopped: // the node ends, and this connection was cut
-		return
+		panic(http.ErrAbortHandler)
 	}
 	select {
 	case a := <-c.reply:
@@ -66,6 +66,8 @@
 		case h.gone <- c:
 		case <-h.stopped:
 		}
+		// A plain return would be a 200 that no server made, and a client that closed one side only would read it.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -225,6 +225,31 @@
 	})
 }
 
+// A client that closes its side has gone away: it gets a close, not a made-up answer.
+func TestHalfClosedClientGetsNoAnswer(t *testing.T) {
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.Copy(io.Discard, c)
+		return false
+	})
+	n := startWith(t, b)
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := newRequest(t, n.url, "unsafe", "1", "x").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it is out", func() bool { return b.requests() == 1 })
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if said, err := io.ReadAll(c); len(said) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %q, %v, want a close", said, err)
+	}
+}
+
 func TestInboundConnectionsAreBounded(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
