Pass the tenant to the module and value what is beyond its share by over-share-worth

Neither X-Caller nor the settings' tenants reached the module, so it kept room for what is worth a twentieth. Each copy now holds its part of every share as a second of requests; of what it holds back, what is within a share goes first. Ruled out: the order by class (slot-booking 0.8, calendar-view 0.2 is the cost order that the weights ask for).

The window itself still refuses four in five: the next cause.

--- a/deckrelay.go
+++ b/deckrelay.go
@@ -47,15 +47,23 @@
 	OnlyKinds []string // kinds of machine open to the class; nil: all
 }
 
+// Tenant is a customer with a share of what the servers can do.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests a second, over all copies, that are within its share
+}
+
 // Settings are fixed for the life of a Balancer.
 type Settings struct {
 	Classes     []Class
-	Balancers   int     // copies that place calls on this tier
-	Self        int     // this copy's number among them, from 0
-	Zone        string  // this copy's zone; "": unknown, then no server is nearer than another
-	Tier        int     // the tier sent to, 0 being the clients' first
-	WholeWeight float64 // how much the whole of the worth counts when shedding
-	ClassWeight float64 // how much the worst-served class counts when shedding
+	Tenants     []Tenant // none: nothing is beyond a share
+	OverWorth   float64  // part of its worth that a request beyond its tenant's share keeps
+	Balancers   int      // copies that place calls on this tier
+	Self        int      // this copy's number among them, from 0
+	Zone        string   // this copy's zone; "": unknown, then no server is nearer than another
+	Tier        int      // the tier sent to, 0 being the clients' first
+	WholeWeight float64  // how much the whole of the worth counts when shedding
+	ClassWeight float64  // how much the worst-served class counts when shedding
 
 	MarksRepeats bool // clients mark their repeats; else short deadlines tell them
 
@@ -129,6 +137,7 @@
 	Request struct {
 		ID       string
 		Class    string
+		Tenant   string
 		Deadline time.Duration // clock time
 		Repeat   bool          // the client marked it as a repeat
 		Key      uint64        // what it is about, where HasKey
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -102,6 +102,7 @@
 	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1)}
 	c.req.ID = r.Header.Get("X-Call-Id")
 	c.req.Class = r.Header.Get("X-Call-Class")
+	c.req.Tenant = r.Header.Get("X-Caller")
 	c.req.Repeat = r.Header.Get("X-Again") == "1"
 	if c.req.ID == "" {
 		return bad("X-Call-Id is missing")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -150,7 +150,7 @@
 		}
 	case "job_in":
 		m.Event = deckrelay.Request{ID: f.text(0), Deadline: f.ms(1), Class: f.text(3),
-			Repeat: f.optNum(4)&2 != 0, Key: f.optKey(2), HasKey: f.opt(2) != ""}
+			Tenant: f.opt(5), Repeat: f.optNum(4)&2 != 0, Key: f.optKey(2), HasKey: f.opt(2) != ""}
 	case "ring":
 		m.Event = deckrelay.Timer{Token: f.text(0)}
 	case "outcome":
@@ -365,15 +365,20 @@
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
 	} `json:"limits"`
-	Registry string `json:"registry-mode"`
-	Rules    struct {
+	OverWorth float64 `json:"over-share-worth"`
+	Registry  string  `json:"registry-mode"`
+	Rules     struct {
 		AskWithin    float64 `json:"ask-within-ms"`
 		ColdFrom     float64 `json:"cold-from"`
 		FallMultiple float64 `json:"fall-multiple"`
 		OrderSettle  float64 `json:"order-settle-ms"`
 		WarmAfter    float64 `json:"warm-after-ms"`
 	} `json:"rules"`
-	Self int     `json:"me"`
+	Self    int `json:"me"`
+	Tenants []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota-per-s"`
+	} `json:"tenants"`
 	Tick float64 `json:"tick-ms"`
 	Tier int     `json:"tier"`
 	Zone string  `json:"zone"`
@@ -400,8 +405,8 @@
 		MarksRepeats: p.Callers.MarksRetry, MaxAttempts: p.Limits.MaxAttempts,
 		AskDiscovery: p.Registry == "on_request", AskWithin: fromMS(p.Rules.AskWithin),
 		Tick: fromMS(p.Tick), ColdFrom: p.Rules.ColdFrom, WarmAfter: fromMS(p.Rules.WarmAfter),
-		FallMultiple: p.Rules.FallMultiple,
-		OrderSettle:  fromMS(p.Rules.OrderSettle),
+		FallMultiple: p.Rules.FallMultiple, OverWorth: p.OverWorth,
+		OrderSettle: fromMS(p.Rules.OrderSettle),
 	}
 	if p.Limits.RetryAfter {
 		s.MaxRetryAfter = fromMS(p.Limits.MaxRetryAfter)
@@ -412,6 +417,9 @@
 			Deadline: fromMS(l.Deadline), LateShare: l.LateShare, Worth: l.Worth, Stream: l.Stream,
 			InOrder: l.InOrder, OnlyZones: l.OnlyZones, OnlyKinds: l.OnlyKinds})
 	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants, deckrelay.Tenant{Name: t.Name, Quota: t.Quota})
+	}
 	return s, nil
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+func TestTenantsArePassedOn(t *testing.T) {
+	s, err := ParseSettings([]byte(`{"tenants":[{"name":"a","quota-per-s":22,"share":0.4}],"over-share-worth":0.05}`))
+	if err != nil || len(s.Tenants) != 1 || s.Tenants[0] != (deckrelay.Tenant{Name: "a", Quota: 22}) || s.OverWorth != 0.05 {
+		t.Errorf("got %+v, %v", s, err)
+	}
+	l, err := all(t, "sync\t1\nabout\t0\njob_in\tid\t9\t-\tc\t0\ta\t-\neob\n")
+	if r, ok := l[1].Event.(deckrelay.Request); err != nil || !ok || r.Tenant != "a" {
+		t.Errorf("got %+v, %v", r, err)
+	}
+}
+
 func TestUnknownEffectIsUnsafe(t *testing.T) {
 	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1}`))
 	if err != nil || s.Classes[0].Effect != deckrelay.Unsafe || s.Classes[1].Effect != deckrelay.Safe {
--- a/policy.go
+++ b/policy.go
@@ -6,6 +6,7 @@
 package deckrelay
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"reflect"
@@ -57,6 +58,7 @@
 	order    []*class         // every class in the order of the settings, then the unknown one
 	pools    []*pool          // in the order of the classes that are placed in them
 	lines    map[uint64]*line // by key
+	tenants  map[string]*tenant
 
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
@@ -85,6 +87,12 @@
 	shed         float64 // share of requests answered without an attempt
 }
 
+// tenant holds what this copy's part of a tenant's share has left.
+type tenant struct {
+	rate, left float64 // requests a second, requests
+	at         time.Duration
+}
+
 // line is the open requests of one key, of all classes that keep their order, as they arrived.
 type line struct {
 	key   uint64
@@ -129,6 +137,7 @@
 	attempts  []*attempt
 	out       int
 	repeat    bool  // by the client, where clients say so
+	over      bool  // beyond its tenant's share
 	line      *line // nil: free of order
 	held      bool
 	answered  bool
@@ -155,14 +164,14 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, lines: map[uint64]*line{}, errors: 0.02, tokens: retryPurse / 2}
-	longest := set.Classes[0]
+		classes: map[string]*class{}, lines: map[uint64]*line{}, tenants: map[string]*tenant{}, errors: 0.02, tokens: retryPurse / 2}
+	for _, t := range set.Tenants {
+		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(max(1, set.Balancers))}
+	}
 	for _, c := range set.Classes {
 		b.addClass(c)
-		if c.Deadline > longest.Deadline {
-			longest = c
-		}
 	}
+	longest := slices.MaxFunc(set.Classes, func(a, c Class) int { return cmp.Compare(a.Deadline, c.Deadline) })
 	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
 	return b, nil
 }
@@ -199,7 +208,9 @@
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
-		b.takeStarted(e)
+		if r := b.requests[e.ID]; r != nil {
+			r.streaming = true
+		}
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
 			b.close(r)
@@ -353,6 +364,7 @@
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
 	b.requests[e.ID] = r
+	r.over = len(b.tenants) > 0 && !b.tenants[e.Tenant].within(b.now)
 	b.backdate(r)
 	for _, k := range b.order {
 		k.arrive *= 0.99
@@ -366,6 +378,19 @@
 	b.place(r)
 }
 
+// within takes a request's place in its tenant's share of the last second. Who is not in the settings has none.
+func (t *tenant) within(now time.Duration) bool {
+	if t == nil {
+		return false
+	}
+	t.left, t.at = min(max(1, t.rate), t.left+t.rate*(now-t.at).Seconds()), now
+	if t.left < 1 {
+		return false
+	}
+	t.left--
+	return true
+}
+
 // joinLine puts a request behind the earlier ones of its key. False: the line is so long that its turn
 // would come too late, and waiting there would only keep its client from what else it can do.
 func (b *Balancer) joinLine(r *request, key uint64) bool {
@@ -500,12 +525,6 @@
 	}
 }
 
-func (b *Balancer) takeStarted(e Started) {
-	if r := b.requests[e.ID]; r != nil {
-		r.streaming = true
-	}
-}
-
 func (b *Balancer) takeOutcome(e Outcome) {
 	r := b.requests[e.ID]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
@@ -913,6 +932,9 @@
 	if r.repeat { // its aim runs from the client's first try and is mostly over
 		v *= c.LateShare
 	}
+	if r.over {
+		v *= b.set.OverWorth
+	}
 	return v / c.mean
 }
 
--- a/policy_test.go
+++ b/policy_test.go
@@ -386,6 +386,8 @@
 		"Classes[1] (post)": func(s *Settings) { s.Classes[1].Window = -1 },
 		"ColdFrom":          func(s *Settings) { s.ColdFrom = 1.5 },
 		"WarmAfter":         func(s *Settings) { s.WarmAfter = -1 },
+		"Tenants[0] (big)":  func(s *Settings) { s.Tenants = []Tenant{{Name: "big", Quota: -1}} },
+		"OverWorth":         func(s *Settings) { s.OverWorth = 2 },
 		"LateShare":         func(s *Settings) { s.Classes[0].LateShare = 2 },
 	} {
 		s := testSettings()
@@ -413,6 +415,33 @@
 	}
 }
 
+// What a tenant sends beyond its share waits behind what is within a share, whoever came first.
+func TestSharesGoBeforeWhatIsBeyondThem(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) {
+		s.Tenants, s.OverWorth = []Tenant{{Name: "big", Quota: 2}, {Name: "small", Quota: 2}}, 0.05
+	})
+	b.Handle(0, ServerList{Full: true, Servers: servers(1)})
+	b.pools[0].window = 1
+	now := 10 * time.Second // a second of a share lies ready at this copy: one request
+	first := sends(b.Handle(now, Request{ID: "first", Class: "get", Tenant: "big", Deadline: now + time.Second}))
+	b.pools[0].inFlight = int(windowFloor*b.pools[0].fair) + 2
+	b.pools[0].window = float64(b.pools[0].inFlight) // one comes free by the next answer
+	b.Handle(now, Request{ID: "within", Class: "get", Tenant: "small", Deadline: now + time.Second})
+	b.Handle(now+msec, Request{ID: "over", Class: "get", Tenant: "big", Deadline: now + time.Second})
+	b.Handle(now+msec, Request{ID: "unknown", Class: "get", Tenant: "none", Deadline: now + time.Second})
+	if r := b.requests; r["first"].over || r["within"].over || !r["over"].over || !r["unknown"].over {
+		t.Errorf("beyond their shares: %v %v %v %v", r["first"].over, r["within"].over, r["over"].over, r["unknown"].over)
+	}
+	next := sends(settle(b, now+10*msec, "first", first[0], Success))
+	if len(next) == 0 || next[0].ID != "within" {
+		t.Errorf("after an answer %v was sent", next)
+	}
+	b.Handle(now+2*time.Second, Request{ID: "later", Class: "get", Tenant: "big", Deadline: now + 3*time.Second})
+	if r := b.requests["later"]; r == nil || r.over {
+		t.Errorf("the share was not refilled: %+v", r)
+	}
+}
+
 // An unmarked repeat shows by a deadline shorter than other tries have.
 func TestShortDeadlineTellsARepeat(t *testing.T) {
 	b := newBalancer(t, nil)
--- a/settings.go
+++ b/settings.go
@@ -21,6 +21,14 @@
 			return fmt.Errorf("deckrelay: Classes[%d] (%s): Worth or LateShare out of range", i, c.Name)
 		}
 	}
+	for i, t := range s.Tenants {
+		if !(t.Quota >= 0) {
+			return fmt.Errorf("deckrelay: Tenants[%d] (%s): Quota out of range", i, t.Name)
+		}
+	}
+	if !(s.OverWorth >= 0 && s.OverWorth <= 1) {
+		return fmt.Errorf("deckrelay: OverWorth must be from 0 to 1")
+	}
 	if !(s.ColdFrom >= 0 && s.ColdFrom <= 1) {
 		return fmt.Errorf("deckrelay: ColdFrom must be from 0 to 1")
 	}
