--- a/policy.go
+++ b/policy.go
@@ -6,7 +6,6 @@
 package deckrelay
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"reflect"
@@ -163,15 +162,15 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
-		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, lines: map[uint64]*line{}, tenants: map[string]*tenant{}, errors: 0.02, tokens: retryPurse / 2}
+		servers: map[string]*server{}, requests: map[string]*request{}, classes: map[string]*class{},
+		lines: map[uint64]*line{}, tenants: map[string]*tenant{}, errors: 0.02, tokens: retryPurse / 2}
 	for _, t := range set.Tenants {
 		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(max(1, set.Balancers))}
 	}
 	for _, c := range set.Classes {
 		b.addClass(c)
 	}
-	longest := slices.MaxFunc(set.Classes, func(a, c Class) int { return cmp.Compare(a.Deadline, c.Deadline) })
+	longest := slices.MaxFunc(set.Classes, func(a, c Class) int { return int(a.Deadline - c.Deadline) })
 	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
 	return b, nil
 }
@@ -378,7 +377,7 @@
 	b.place(r)
 }
 
-// within takes a request's place in its tenant's share of the last second. Who is not in the settings has none.
+// within takes a request's place in its tenant's share of the last second; an unknown tenant has none.
 func (t *tenant) within(now time.Duration) bool {
 	if t == nil {
 		return false
