Count the tiers behind a server in the admission window, and steer to 0.7 of the aim

The first tier's nodes had 11 or 12 calls out and 50 of 111 requests refused without an attempt, while a call took 1.1 s and the tiers below answered in 0.42 s and 0.13 s without any crowd. The window stood at its floor of 5 calls a server: a figure for servers that work alone. Here a server waits for two more tiers most of that time, and 1.1 s is 0.45 of the aim when idle, so steering to 0.5 held the window down.

--- a/deckrelay.go
+++ b/deckrelay.go
@@ -61,6 +61,7 @@
 	Balancers   int      // copies that place calls on this tier
 	Self        int      // this copy's number among them, from 0
 	Zone        string   // this copy's zone; "": unknown, then no server is nearer than another
+	Tiers       int      // how many there are, each calling the next; 0: not known
 	Tier        int      // the tier sent to, 0 being the clients' first
 	WholeWeight float64  // how much the whole of the worth counts when shedding
 	ClassWeight float64  // how much the worst-served class counts when shedding
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -379,9 +379,10 @@
 		Name  string  `json:"name"`
 		Quota float64 `json:"quota-per-s"`
 	} `json:"tenants"`
-	Tick float64 `json:"tick-ms"`
-	Tier int     `json:"tier"`
-	Zone string  `json:"zone"`
+	Tick  float64  `json:"tick-ms"`
+	Tier  int      `json:"tier"`
+	Tiers []string `json:"tiers"`
+	Zone  string   `json:"zone"`
 }
 
 var scopes = map[string]deckrelay.Scope{
@@ -400,7 +401,7 @@
 		return deckrelay.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := deckrelay.Settings{
-		Balancers: p.Balancers, Self: p.Self, Tier: p.Tier, Zone: p.Zone,
+		Balancers: p.Balancers, Self: p.Self, Tier: p.Tier, Tiers: len(p.Tiers), Zone: p.Zone,
 		WholeWeight: p.Blend.Whole, ClassWeight: p.Blend.WorstClass,
 		MarksRepeats: p.Callers.MarksRetry, MaxAttempts: p.Limits.MaxAttempts,
 		AskDiscovery: p.Registry == "on_request", AskWithin: fromMS(p.Rules.AskWithin),
--- a/policy.go
+++ b/policy.go
@@ -27,15 +27,14 @@
 	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
 	ejection    = 12    // mean latencies that a first ejection, or a lack of room, lasts
 	maxLevel    = 5     // doublings of an ejection
-	windowFloor = 5.0   // own calls a server that are always admitted
+	windowFloor = 5.0   // own calls a server, and a tier below it, that are always admitted
 	retryEarn   = 0.15  // further attempts earned by a success
 	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
 	retryPurse  = 10    // most that can be saved up
-	aimFill     = 0.5   // mean latency over aim that admission steers to
+	aimFill     = 0.7   // mean latency over aim that admission steers to
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 0.02  // window gained by an answer in good time
 	windowDown  = 0.1   // window lost by a late one
-	windowStart = 5.0   // own calls admitted per server before anything is known
 	leastReach  = 4.0   // servers that a copy draws from at least
 	callReach   = 0.5   // more of them for each own call in flight
 	spillLeast  = 0.03  // share that leaves the nearest anyway, so that the copy learns of the others
@@ -58,6 +57,7 @@
 	pools    []*pool          // in the order of the classes that are placed in them
 	lines    map[uint64]*line // by key
 	tenants  map[string]*tenant
+	floor    float64 // own calls a server that are always admitted
 
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
@@ -120,7 +120,6 @@
 	goods    int // good endings in a row
 	until    time.Duration
 	slow     float64 // mean log of latency over the class mean
-	samples  int
 	lastOK   time.Duration
 	room     int           // own calls that it had taken when it refused one more
 	full     time.Duration // no more than room until then
@@ -170,6 +169,8 @@
 	for _, c := range set.Classes {
 		b.addClass(c)
 	}
+	// A server waits for the tiers behind it, each about as long as it works itself: it can hold more calls.
+	b.floor = windowFloor * float64(max(1, set.Tiers-set.Tier))
 	longest := slices.MaxFunc(set.Classes, func(a, c Class) int { return int(a.Deadline - c.Deadline) })
 	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
 	return b, nil
@@ -321,7 +322,7 @@
 	p.fair = float64(len(own)) / float64(max(1, b.set.Balancers))
 	if p.window == 0 {
 		p.base = p.fair
-		p.window = windowStart * p.base
+		p.window = b.floor * p.base
 	}
 }
 
@@ -767,7 +768,8 @@
 	case Success:
 		b.tokens = min(retryPurse, b.tokens+retryEarn)
 		b.lastOK, s.lastOK = b.now, b.now
-		s.judgeSpeed(c, took)
+		// A slow server is not ejected: its own calls stay out for long, and the lower count wins.
+		s.slow += ownMemory * (math.Log(max(took, 1)/c.mean) - s.slow)
 		c.dev += memory * (math.Abs(took-c.mean) - c.dev)
 		c.mean += memory * (took - c.mean)
 		s.streak, s.refusals = 0, 0
@@ -793,13 +795,6 @@
 	}
 }
 
-// judgeSpeed compares a latency with the class's mean. A slow server is not ejected: its own calls stay
-// out for long, and the lower count wins.
-func (s *server) judgeSpeed(c *class, took float64) {
-	s.slow += ownMemory * (math.Log(max(took, 1)/c.mean) - s.slow)
-	s.samples++
-}
-
 // ---- Slow start ----
 
 // warmEnough thins the draw of a cold server to the share of a warm one's capacity that it surely has, and
@@ -890,19 +885,19 @@
 		p.part = b.rng.Float64()
 	} else if float64(p.inFlight+1) >= 0.8*p.window {
 		p.window += windowUp
-		p.base += windowUp / windowFloor
+		p.base += windowUp / b.floor
 	}
 	// A list that grows in a surge says nothing of the tiers below, which would choke under a floor that
 	// grew with it: base follows the list down at once, and up by answers in good time.
 	p.base = min(p.base, p.fair)
-	p.window = max(p.window, 1, windowFloor*p.base)
+	p.window = max(p.window, 1, b.floor*p.base)
 }
 
 // unevenness is the variance of the servers' mean log latencies.
 func (p *pool) unevenness() float64 {
 	var n, sum, squares float64
 	for _, s := range p.ready {
-		if s.samples > 0 {
+		if s.slow != 0 {
 			n++
 			sum += s.slow
 			squares += s.slow * s.slow
--- a/policy_test.go
+++ b/policy_test.go
@@ -322,6 +322,17 @@
 	}
 }
 
+// A server that waits for tiers behind it holds more calls for the same work than one that works alone.
+func TestWindowCountsTheTiersBehind(t *testing.T) {
+	for _, c := range []struct{ tiers, tier, want int }{{0, 0, 1}, {1, 0, 1}, {3, 0, 3}, {3, 2, 1}} {
+		b := newBalancer(t, func(s *Settings) { s.Tiers, s.Tier = c.tiers, c.tier })
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		if want := windowFloor * 2 * float64(c.want); b.pools[0].window != want {
+			t.Errorf("tier %d of %d: window %v for 4 servers and 2 copies, want %v", c.tier, c.tiers, b.pools[0].window, want)
+		}
+	}
+}
+
 // A fleet enlarged in a surge stands on tiers below that did not grow: late answers must not find a floor
 // that grew with the list, and answers in good time must raise it.
 func TestFloorGrowsByAnswersNotByTheList(t *testing.T) {
@@ -545,7 +556,7 @@
 		for i := range 50 {
 			b.pools[0].shed = 0.8
 			for k, s := range b.pools[0].ready {
-				s.samples, s.slow = 5, spread*float64(k%2)
+				s.slow = spread * (float64(k%2) - 0.5)
 			}
 			b.now, b.pools[0].inFlight = 200*msec, int(b.pools[0].window)
 			if b.steer(r, Outcome{Ending: Success}); b.pools[0].fill < 0.39 {
--- a/settings.go
+++ b/settings.go
@@ -41,8 +41,8 @@
 			return fmt.Errorf("deckrelay: %s is negative", d.name)
 		}
 	}
-	if s.Tier < 0 || s.Balancers < 0 || s.Self < 0 || s.MaxAttempts < 0 || !(s.FallMultiple >= 0) {
-		return fmt.Errorf("deckrelay: Tier, Balancers, Self, MaxAttempts or FallMultiple is negative")
+	if s.Tiers < 0 || s.Tier < 0 || s.Balancers < 0 || s.Self < 0 || s.MaxAttempts < 0 || !(s.FallMultiple >= 0) {
+		return fmt.Errorf("deckrelay: Tiers, Tier, Balancers, Self, MaxAttempts or FallMultiple is negative")
 	}
 	return nil
 }
