Wait for an answer only while it is worth something: to the aim where late ones are not

The first tier now ends an attempt with the aim and answers at once; nothing further is sent after it. Holding back without any server ends by half of the client's time.

--- a/example_test.go
+++ b/example_test.go
@@ -38,7 +38,7 @@
 		Ending: deckrelay.Success, Latency: 20 * time.Millisecond, Ended: true})
 	fmt.Println("left to do:", len(acts))
 	// Output:
-	// sent r1 with a time-out of 1s
+	// sent r1 with a time-out of 200ms
 	// sent again to another server: true
 	// left to do: 0
 }
--- a/policy.go
+++ b/policy.go
@@ -461,7 +461,15 @@
 	s.open = append(s.open, a)
 	p.inFlight++
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(r.deadline-b.now, b.set.Tick)})
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.useful(r)-b.now, b.set.Tick)})
+}
+
+// useful is until when an answer is worth anything; what is out longer takes room at every tier below.
+func (b *Balancer) useful(r *request) time.Duration {
+	if b.set.Tier == 0 && r.class.LateShare == 0 {
+		return min(r.deadline, r.arrived+r.class.Aim)
+	}
+	return r.deadline
 }
 
 // overlong is the wait for an answer that most of a class's answers stay well under.
@@ -491,14 +499,13 @@
 }
 
 // holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers take the
-// room of those in time. With no server at all a late answer is the best there is: almost to the deadline.
+// room of those in time. With no server at all, half of the time: then its client can still ask elsewhere.
 func (b *Balancer) holdUntil(r *request) time.Duration {
-	last := r.deadline - 2*b.set.Tick
+	last := min(b.useful(r), (r.arrived+r.deadline)/2) - 2*b.set.Tick
 	if len(r.class.pool.ready) == 0 {
 		return last
 	}
-	aim := r.class.Aim
-	hold := max(aim/4, aim-time.Duration(r.class.mean+2*r.class.dev))
+	hold := max(r.class.Aim/4, r.class.Aim-time.Duration(r.class.mean+2*r.class.dev))
 	return min(last, r.arrived+hold)
 }
 
@@ -837,7 +844,7 @@
 // further decides what follows when no attempt is left out: another within the budget and with
 // time for an answer, or the final answer. Without the budget, retries of every tier multiply.
 func (b *Balancer) further(r *request) {
-	left := float64(r.deadline - b.now)
+	left := float64(b.useful(r) - b.now)
 	cost := 1.0
 	if r.attempts[len(r.attempts)-1].unsent {
 		cost = unsentCost
