Let the window yield fast where all answers are late, and regain its start fast

Now the floor is a fifth; the window loses up to 5% an answer the later the answers are, and regains its start by one call an answer in good time, beyond it by 0.02 as before.

--- a/policy.go
+++ b/policy.go
@@ -1,7 +1,4 @@
 // Every decision of deckrelay. The interface (settings, events, actions) is in deckrelay.go.
-//
-// Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
-// slow start, further attempts, admission, answers.
 
 package deckrelay
 
@@ -27,14 +24,16 @@
 	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
 	ejection    = 12    // mean latencies that a first ejection, or a lack of room, lasts
 	maxLevel    = 5     // doublings of an ejection
-	windowFloor = 5.0   // own calls a server, and a tier below it, that are always admitted
+	windowKnee  = 5.0   // own calls a server, and a tier behind it, admitted at first and regained fast
+	windowFloor = 0.2   // part of these that is always admitted
 	retryEarn   = 0.15  // further attempts earned by a success
 	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
 	retryPurse  = 10    // most that can be saved up
 	aimFill     = 0.7   // mean latency over aim that admission steers to
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 0.02  // window gained by an answer in good time
-	windowDown  = 0.1   // window lost by a late one
+	windowBack  = 1.0   // the same, under the knee
+	windowDown  = 0.05  // part of the window lost by an answer when all are late
 	leastReach  = 4.0   // servers that a copy draws from at least
 	callReach   = 0.5   // more of them for each own call in flight
 	spillLeast  = 0.03  // share that leaves the nearest anyway, so that the copy learns of the others
@@ -57,7 +56,7 @@
 	pools    []*pool          // in the order of the classes that are placed in them
 	lines    map[uint64]*line // by key
 	tenants  map[string]*tenant
-	floor    float64 // own calls a server that are always admitted
+	knee     float64 // own calls a server that the window starts with
 
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
@@ -170,7 +169,7 @@
 		b.addClass(c)
 	}
 	// A server waits for the tiers behind it, each about as long as it works itself: it can hold more calls.
-	b.floor = windowFloor * float64(max(1, set.Tiers-set.Tier))
+	b.knee = windowKnee * float64(max(1, set.Tiers-set.Tier))
 	longest := slices.MaxFunc(set.Classes, func(a, c Class) int { return int(a.Deadline - c.Deadline) })
 	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
 	return b, nil
@@ -322,7 +321,7 @@
 	p.fair = float64(len(own)) / float64(max(1, b.set.Balancers))
 	if p.window == 0 {
 		p.base = p.fair
-		p.window = b.floor * p.base
+		p.window = b.knee * p.base
 	}
 }
 
@@ -883,21 +882,23 @@
 	}
 	p.fill += 2 / (p.window + 16) * (min(over, 1) - p.fill)
 	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner is
-	// better. The floor keeps bare work that fills much of the aim from being taken for a crowd.
-	// Where copies outnumber servers, windows of a call or two rounded up at every copy would choke the
-	// servers: while it falls, the draw makes all copies hold to it. Else rounding up lets bursts through.
+	// better. A falling window is rounded by a draw: small ones, rounded up at every copy, choke the servers.
 	p.part = 0
-	if p.fill > aimFill*(1-p.shed*min(1, shedding*p.unevenness())) {
-		p.window -= windowDown
+	most := aimFill * (1 - p.shed*min(1, shedding*p.unevenness()))
+	switch knee := b.knee * p.base; {
+	case p.fill > most: // late answers hold servers for nothing: the later, the faster it yields
+		p.window -= windowDown * p.window * (p.fill - most) / (1 - most)
 		p.part = b.rng.Float64()
-	} else if float64(p.inFlight+1) >= 0.8*p.window {
+	case float64(p.inFlight+1) < 0.8*p.window:
+	case p.window < knee:
+		p.window = min(knee, p.window+windowBack)
+	default:
 		p.window += windowUp
-		p.base += windowUp / b.floor
+		p.base += windowUp / b.knee
 	}
-	// A list that grows in a surge says nothing of the tiers below, which would choke under a floor that
-	// grew with it: base follows the list down at once, and up by answers in good time.
+	// A list that grows says nothing of the tiers below: base follows it up by answers in good time alone.
 	p.base = min(p.base, p.fair)
-	p.window = max(p.window, 1, b.floor*p.base)
+	p.window = max(p.window, 1, windowFloor*b.knee*p.base)
 }
 
 // unevenness is the variance of the servers' mean log latencies.
@@ -961,9 +962,8 @@
 	b.close(r)
 }
 
-// close ends a request. What is still out for it is not called off: where servers work on regardless, the
-// count of own calls and the window would hold room that is not there, while clients that leave early ask
-// again. It counts until its own ending. Where a cancel does stop work, that work is the price.
+// close ends a request. What is still out for it is not called off and counts until its own ending: where
+// servers work on regardless, the window would hold room that is not there. Else that work is the price.
 func (b *Balancer) close(r *request) {
 	if r.answered {
 		return
