Make room for callers when all places are taken: close what waits longest without a request

Now the connection that has gone longest without a request, new or kept, is closed for the next one; one with an open request never is.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -209,32 +210,68 @@
 	return slices.MaxFunc(s.Classes, func(a, b deckrelay.Class) int { return int(a.Deadline - b.Deadline) }).Deadline
 }
 
-// bounded accepts no more connections at once than it has places; more wait in the system's queue.
+// bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
+// longest without a request makes room: callers must not wait behind peers that send nothing.
 type bounded struct {
 	net.Listener
 	places chan struct{}
 	stats  *stats
+
+	mu      sync.Mutex
+	waiting *list.List // of *placed, without an open request, the longest first
 }
 
 func bound(ln net.Listener, most int, stats *stats) *bounded {
-	return &bounded{ln, make(chan struct{}, most), stats}
+	return &bounded{Listener: ln, places: make(chan struct{}, most), stats: stats, waiting: list.New()}
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
-	b.places <- struct{}{}
 	c, err := b.Listener.Accept()
 	if err != nil {
-		<-b.places
 		return nil, err
 	}
+	select {
+	case b.places <- struct{}{}:
+	default:
+		b.evict()
+		b.places <- struct{}{}
+	}
 	b.stats.count(func(s *stats) { s.accepted++ })
 	return &placed{Conn: c, free: sync.OnceFunc(func() { <-b.places })}, nil
 }
 
+// track is told by the HTTP server what a connection is doing.
+func (b *bounded) track(c net.Conn, state http.ConnState) {
+	p, ok := c.(*placed)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.waiting != nil {
+		b.waiting.Remove(p.waiting)
+		p.waiting = nil
+	}
+	if state == http.StateNew || state == http.StateIdle {
+		p.waiting = b.waiting.PushBack(p)
+	}
+}
+
+func (b *bounded) evict() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.waiting.Front(); e != nil {
+		p := b.waiting.Remove(e).(*placed)
+		p.waiting = nil
+		p.Close()
+	}
+}
+
 // placed gives its place back when it is closed.
 type placed struct {
 	net.Conn
-	free func()
+	free    func()
+	waiting *list.Element // guarded by bounded.mu
 }
 
 func (c *placed) Close() error {
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -250,30 +250,44 @@
 	}
 }
 
-func TestInboundConnectionsAreBounded(t *testing.T) {
+// accepting hands on what a bounded listener of one place accepts; dial opens a connection to it.
+func accepting(t *testing.T) (b *bounded, accepted <-chan net.Conn, dial func()) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := bound(ln, 1, &stats{})
-	accepted := make(chan net.Conn)
+	b = bound(ln, 1, &stats{})
+	out := make(chan net.Conn)
 	go func() {
+		defer close(out)
 		for {
 			c, err := b.Accept()
 			if err != nil {
-				close(accepted)
 				return
 			}
-			accepted <- c
+			out <- c
 		}
 	}()
-	for range 2 {
+	t.Cleanup(func() {
+		ln.Close()
+		for c := range out {
+			c.Close()
+		}
+	})
+	return b, out, func() {
 		c, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
+		t.Cleanup(func() { c.Close() })
 	}
+}
+
+func TestInboundConnectionsAreBounded(t *testing.T) {
+	b, accepted, dial := accepting(t)
+	dial()
+	dial()
 	first := <-accepted
 	if len(b.places) != 1 {
 		t.Errorf("%d places taken, want 1", len(b.places))
@@ -286,8 +300,29 @@
 	first.Close()
 	first.Close() // twice gives back one place only
 	(<-accepted).Close()
-	ln.Close()
-	<-accepted
+}
+
+// A caller must not wait behind a peer that sends nothing, nor take the place of one with an open request.
+func TestConnectionWithoutARequestMakesRoom(t *testing.T) {
+	b, accepted, dial := accepting(t)
+	dial()
+	silent := <-accepted
+	b.track(silent, http.StateNew)
+	dial()
+	caller := <-accepted
+	if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the silent connection reads %v, want it closed", err)
+	}
+	b.track(silent, http.StateClosed)
+	b.track(caller, http.StateNew)
+	b.track(caller, http.StateActive)
+	b.evict()
+	if len(b.places) != 1 {
+		t.Error("a connection with an open request lost its place")
+	}
+	b.track(caller, http.StateIdle)
+	dial()
+	(<-accepted).Close()
 }
 
 // Told to stop, a node takes what still comes while the front notices, finishes what it holds and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
 	defer grace.Stop()
 
+	inbound := bound(ln, n.inbound, &n.loop.stats)
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
 			gone: n.loop.gone, stopped: n.loop.stop, stats: &n.loop.stats,
@@ -108,11 +109,12 @@
 			closing: func() bool { return n.state.Load() >= closing }},
 		ReadTimeout:    readTime, // of header and body together
 		IdleTimeout:    idleTime,
+		ConnState:      inbound.track,
 		MaxHeaderBytes: 16 << 10,
 		ErrorLog:       slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(bound(ln, n.inbound, &n.loop.stats)) }()
+	go func() { failed <- server.Serve(inbound) }()
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "tier", n.cfg.Settings.Tier)
 
 	var err error
