Give up a silent discovery after 3 s, also at the first answer to a call

A call of an asked discovery had 10 s for its first answer and a watch 4.5 s between lines, while what discovery has to tell counts as told after 6 s and a drain has 3 s of grace: 4.5 s, a dial and 10 s pass both.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	silence   = 4500 * time.Millisecond // a watch without a line for so long is broken; a line comes every 2 s
-	patience  = 10 * time.Second        // an asked discovery works through its calls in turn
+	// A call or a watch without a line for so long is broken: a line comes every 2 s, and a call that waits in
+	// turn ends sooner. Silence, another dial and its silence must fit in the 6 s after which news counts as told
+	// and the 3 s of grace for a drain.
+	silence   = 3 * time.Second
 	retryMin  = 100 * time.Millisecond
 	retryMost = 2 * time.Second
 	maxLine   = 4 << 20
@@ -161,12 +163,8 @@
 		defer d.mu.Unlock()
 		d.cut = nil
 	}()
-	first := d.silence
-	if d.asked {
-		first = patience
-	}
 	// A cut-off machine says nothing: the connection stays open, and only the missing lines tell.
-	watchdog := time.AfterFunc(first, func() { cancel(errors.New("silent for too long")) })
+	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("silent for too long")) })
 	defer watchdog.Stop()
 	body, err := d.get(ctx, "?watch=1&from="+strconv.FormatInt(d.seq, 10))
 	if err != nil {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -115,6 +115,22 @@
 	wantCall(t, a, "watch 1")
 }
 
+// A discovery that takes the call and never answers is as broken, also where the list is asked for: the module
+// hears of it and asks again.
+func TestSilentCallIsGivenUp(t *testing.T) {
+	addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	d, heard := watchOn(t, addr, "on_request", 20*time.Millisecond)
+	d.subscribe()
+	select {
+	case n := <-heard:
+		if !n.failed {
+			t.Errorf("heard %+v", n)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("still waiting after 5 s")
+	}
+}
+
 // A node told that discovery has moved goes on there at once, from what it holds, also with news that the loop
 // has not taken yet.
 func TestWatchMoves(t *testing.T) {
