Steer to 0.65 of the aim: late calls that end with the aim hold no room back

Until then the late calls kept their places up to the deadline and so held the crowd off the choked servers.

--- a/policy.go
+++ b/policy.go
@@ -29,7 +29,7 @@
 	retryEarn   = 0.15  // further attempts earned by a success
 	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
 	retryPurse  = 10    // most that can be saved up
-	aimFill     = 0.7   // mean latency over aim that admission steers to
+	aimFill     = 0.65  // mean latency over aim that admission steers to
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 0.02  // window gained by an answer in good time
 	windowBack  = 1.0   // the same, under the knee
--- a/policy_test.go
+++ b/policy_test.go
@@ -566,6 +566,23 @@
 	}
 }
 
+// Answers that fill two thirds of the aim are the first sign of a crowd: since attempts end with the aim, late calls
+// no longer hold room back by themselves.
+func TestWindowFallsBeforeAnswersAreLate(t *testing.T) {
+	for took, falls := range map[time.Duration]bool{340 * msec: true, 250 * msec: false} { // of an aim of 500 ms
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(40)})
+		p, start := b.pools[0], b.pools[0].window
+		for range 300 {
+			p.inFlight = int(p.window)
+			b.steer(&request{class: b.classes["get"], attempts: []*attempt{{sent: b.now - took}}}, Outcome{Ending: Success})
+		}
+		if p.window < start != falls {
+			t.Errorf("answers after %v: window %.1f from %.1f", took, p.window, start)
+		}
+	}
+}
+
 // Servers that choked need the crowd to go, and where all answers are late nothing is lost by that: the window
 // yields at once, and regains what it started with as soon as answers come in time.
 func TestWindowYieldsWhereAllIsLateAndRecovers(t *testing.T) {
