--- a/check.sh
+++ b/check.sh
@@ -12,6 +12,8 @@
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
 sh -c "$build"
+# The standing check loads a library into the node: it has to be linked dynamically against the C library.
+ldd bin/quaywick | grep -q 'libc\.so' || { echo "deploy: the node is not linked against the C library" >&2; exit 1; }
 sim=$(sed -n 's/^sim = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ "$(printf 'sync\t1\neob\n' | sh -c "$sim")" = yield ] || { echo "deploy: the adapter gave no reply" >&2; exit 1; }
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
