A door for operators: readiness, drain and return on a listener of its own

All connections are in the order of their coming, and the oldest makes room when places run out, whatever it has sent, so mute callers hold up nobody. Rejected: a path on the callers' listener, which stands behind their places; and a mux of net/http, which answers an unclean path by a redirect, neither yes nor no. Starting, serving, drained and leaving are one table of moves in lifecycle.go. Out of service, /ready says no at once, after the front's notice (450 ms) every answer ends its connection, and 150 ms later connections without a request are closed. Rejected: closing the listener, which resets what the front still deals out and needs a new one for the return. Callers' connections now keep their place from the end of a request's head on: net/http calls a connection active at its first byte, so half a head held a place until its time ran out.

--- a/cmd/quaywick/main_test.go
+++ b/cmd/quaywick/main_test.go
@@ -126,6 +126,7 @@
 		"no classes":  `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"limits":{"conn-idle-ms":1,"connect-timeout-ms":1}}}`,
 		"bad seed":    strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), "8c1f", "xyz", 1),
 		"bad listen":  strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), "127.0.0.1:0", "nowhere", 1),
+		"bad control": strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), `"name":"n0"`, `"name":"n0","control":"nowhere"`, 1),
 		"bad limits":  strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), `"sockets":1024`, `"sockets":-1`, 1),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -37,6 +37,7 @@
 }
 
 func (h *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	engage(r)
 	if status, err := framing(r); err != nil {
 		h.turnDown(w, status, err)
 		return
@@ -46,6 +47,7 @@
 		if !h.ready() {
 			status = http.StatusServiceUnavailable
 		}
+		h.lastIfClosing(w)
 		w.WriteHeader(status)
 		return
 	}
@@ -177,11 +179,16 @@
 	return out
 }
 
-func (h *callers) write(w http.ResponseWriter, a answer) {
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+// lastIfClosing makes an answer the last one on its connection while callers are sent away.
+func (h *callers) lastIfClosing(w http.ResponseWriter) {
 	if h.closing() {
 		w.Header().Set("Connection", "close")
 	}
+}
+
+func (h *callers) write(w http.ResponseWriter, a answer) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+	h.lastIfClosing(w)
 	if a.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 	}
@@ -211,18 +218,22 @@
 }
 
 // bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
-// longest without a request makes room: callers must not wait behind peers that send nothing.
+// longest without a request makes room: callers must not wait behind peers that send nothing, or half a head.
 type bounded struct {
 	net.Listener
-	places chan struct{}
-	stats  *stats
+	accepted func()
 
 	mu      sync.Mutex
-	waiting *list.List // of *placed, without an open request, the longest first
+	freed   *sync.Cond
+	most    int
+	taken   int
+	waiting *list.List // of *placed, without a request in work, the longest first
 }
 
-func bound(ln net.Listener, most int, stats *stats) *bounded {
-	return &bounded{Listener: ln, places: make(chan struct{}, most), stats: stats, waiting: list.New()}
+func bound(ln net.Listener, most int, accepted func()) *bounded {
+	b := &bounded{Listener: ln, accepted: accepted, most: most, waiting: list.New()}
+	b.freed = sync.NewCond(&b.mu)
+	return b
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -230,52 +241,91 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case b.places <- struct{}{}:
-	default:
-		b.evict()
-		b.places <- struct{}{}
+	b.accepted()
+	p := &placed{Conn: c, of: b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.taken >= b.most {
+		if e := b.waiting.Front(); e != nil {
+			e.Value.(*placed).closeLocked()
+		} else {
+			b.freed.Wait()
+		}
 	}
-	b.stats.count(func(s *stats) { s.accepted++ })
-	return &placed{Conn: c, free: sync.OnceFunc(func() { <-b.places })}, nil
+	b.taken++
+	p.place = b.waiting.PushBack(p)
+	return p, nil
 }
 
-// track is told by the HTTP server what a connection is doing.
+// track is told by the HTTP server what a connection is doing. That a request has begun to arrive is no reason
+// to keep a connection: engage is told when its head is there.
 func (b *bounded) track(c net.Conn, state http.ConnState) {
 	p, ok := c.(*placed)
-	if !ok {
+	if !ok || state != http.StateIdle {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.waiting != nil {
-		b.waiting.Remove(p.waiting)
-		p.waiting = nil
+	if !p.closed && p.place == nil {
+		p.place = b.waiting.PushBack(p)
+		b.freed.Signal()
 	}
-	if state == http.StateNew || state == http.StateIdle {
-		p.waiting = b.waiting.PushBack(p)
+}
+
+// placedKey finds the connection in the context of its requests.
+type placedKey struct{}
+
+// engage keeps the connection of a request from making room until the request is answered.
+func engage(r *http.Request) {
+	p, ok := r.Context().Value(placedKey{}).(*placed)
+	if !ok {
+		return
 	}
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	p.unplace()
 }
 
-func (b *bounded) evict() {
+// closeWaiting closes all connections without a request in work.
+func (b *bounded) closeWaiting() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.waiting.Front(); e != nil {
-		p := b.waiting.Remove(e).(*placed)
-		p.waiting = nil
-		p.Close()
+	for e := b.waiting.Front(); e != nil; e = b.waiting.Front() {
+		e.Value.(*placed).closeLocked()
 	}
 }
 
 // placed gives its place back when it is closed.
 type placed struct {
 	net.Conn
-	free    func()
-	waiting *list.Element // guarded by bounded.mu
+	of *bounded
+
+	// guarded by of.mu
+	place  *list.Element // in of.waiting; nil: a request is in work
+	closed bool
 }
 
 func (c *placed) Close() error {
-	err := c.Conn.Close()
-	c.free()
-	return err
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked closes under the lock: no new connection may take the place while the descriptor is still held.
+func (c *placed) closeLocked() error {
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	c.unplace()
+	c.of.taken--
+	c.of.freed.Signal()
+	return c.Conn.Close()
+}
+
+func (c *placed) unplace() {
+	if c.place != nil {
+		c.of.waiting.Remove(c.place)
+		c.place = nil
+	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Control   string // where operators call; "": nowhere
 	Discovery string
 	Seed      uint64
 	Cores     float64
@@ -49,6 +51,7 @@
 	var raw struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
+		Control   string `json:"control"`
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
@@ -64,7 +67,11 @@
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Known: raw.Known,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	c.Control = cmp.Or(raw.Control, os.Getenv("ROUTER_CONTROL"))
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"control", c.Control}, {"discovery", c.Discovery}} {
+		if a.name == "control" && a.addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return Config{}, fmt.Errorf("%s: %w", a.name, err)
 		}
@@ -73,7 +80,7 @@
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	if c.Cores < 0 || c.MemoryMB < 0 || c.Sockets < 0 || c.Sockets > 0 && c.Sockets < 4*reserved {
+	if c.Cores < 0 || c.MemoryMB < 0 || c.Sockets < 0 || c.Sockets > 0 && c.Sockets < 2*reserved {
 		return Config{}, errors.New("limits: out of range")
 	}
 	if len(raw.Settings) == 0 {
--- /dev/null
+++ b/internal/node/door_test.go
@@ -0,0 +1,242 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// ask makes one call at the door on a connection of its own.
+func (r *running) ask(t *testing.T, method, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+r.door+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	status, _, body := do(t, req)
+	return status, body
+}
+
+// ready asks as the front does.
+func (r *running) ready(t *testing.T) int {
+	t.Helper()
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get(r.url + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestDoorCalls(t *testing.T) {
+	n := startWith(t, newBackend(t, ok))
+	for _, call := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/control/ready", 200},
+		{"PUT", "/control/in-service", 200},
+		{"GET", "/control/nothing", 404},
+		{"GET", "/control//ready", 404},
+		{"GET", "/ready", 404},
+		{"POST", "/control/ready", 405},
+		{"GET", "/control/out-of-service", 405},
+		{"DELETE", "/control/in-service", 405},
+	} {
+		if status, _ := n.ask(t, call.method, call.path); status != call.want {
+			t.Errorf("%s %s: %d, want %d", call.method, call.path, status, call.want)
+		}
+	}
+	for text, want := range map[string]string{
+		"no call at all\r\n\r\n":                         " 400 ",
+		"GET /control/ready HTTP/1.1\r\n\r\n":            " 400 ", // no Host
+		"GET /" + strings.Repeat("x", 16<<10) + " HTTP/": " 431 ",
+	} {
+		c, err := net.Dial("tcp", n.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, text) // a long head may be cut off while it is written
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if said, _ := io.ReadAll(c); !strings.Contains(string(said), want) {
+			t.Errorf("to %.30q it said %q, want %s", text, said, want)
+		}
+	}
+}
+
+// The door answers while callers hold all their places and more mute peers than it has places stay there.
+func TestDoorBesideMutePeersAndFullPlaces(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		<-release
+		return respond(c, "200 OK", "done")
+	})
+	cfg := testConfig(t, "pushed", inService("s", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	cfg.Sockets = 2 * reserved // the least there may be
+	n := start(t, cfg)
+	held := make(chan bool)
+	most := inboundPlaces(cfg.Sockets)
+	for i := range most {
+		go func() {
+			resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", fmt.Sprint(i), "x"))
+			if err == nil {
+				resp.Body.Close()
+			}
+			held <- err == nil
+		}()
+	}
+	eventually(t, "all places are taken", func() bool {
+		n.inbound.mu.Lock()
+		defer n.inbound.mu.Unlock()
+		return n.inbound.taken == most && n.inbound.waiting.Len() == 0
+	})
+	for i := range 2 * doorPlaces {
+		c, err := net.Dial("tcp", n.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /control"[:i%2*12])
+	}
+	begin := time.Now()
+	if status, _ := n.ask(t, "GET", "/control/ready"); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+	if took := time.Since(begin); took > doorTime/2 { // so no mute peer had to run out of its time first
+		t.Errorf("answered after %v", took)
+	}
+	close(release)
+	for range most {
+		if !<-held {
+			t.Error("a caller lost its answer")
+		}
+	}
+}
+
+// Half a call is closed, so that it holds no place for ever.
+func TestMutePeerAtTheDoorIsClosed(t *testing.T) {
+	n := startWith(t, newBackend(t, ok))
+	c, err := net.Dial("tcp", n.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /control/ready HTTP/1.1\r\nHost")
+	c.SetReadDeadline(time.Now().Add(2 * doorTime))
+	if _, err := io.Copy(io.Discard, c); err != nil && strings.Contains(err.Error(), "timeout") {
+		t.Error("left open")
+	}
+}
+
+// Out of service, what is open is answered as the last one of its connection, idle connections are closed, and
+// the node comes back without a restart, as often as it is told.
+func TestDrainAndReturn(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n == 1 {
+			<-release
+		}
+		return respond(c, "200 OK", "done")
+	})
+	n := startWith(t, b)
+	idle, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	held := make(chan *http.Response, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "held", "x"))
+		if err != nil {
+			t.Error(err)
+		} else {
+			resp.Body.Close()
+		}
+		held <- resp
+	}()
+	eventually(t, "it is out", func() bool { return b.requests() == 1 })
+	for range 2 { // a repeated call changes nothing
+		if status, _ := n.ask(t, "PUT", "/control/out-of-service"); status != http.StatusOK {
+			t.Fatalf("not drained: %d", status)
+		}
+		if status := n.ready(t); status != http.StatusServiceUnavailable {
+			t.Errorf("/ready says %d", status)
+		}
+	}
+	if status, _ := n.ask(t, "GET", "/control/ready"); status != http.StatusOK {
+		t.Errorf("this process can serve, yet the door says %d", status)
+	}
+	idle.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idle connection reads %v, want a close", err)
+	}
+	close(release)
+	if resp := <-held; resp == nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("what was open was answered %+v, want 200 and a close", resp)
+	}
+	for range 2 {
+		if status, _ := n.ask(t, "PUT", "/control/in-service"); status != http.StatusOK {
+			t.Fatalf("not taken back: %d", status)
+		}
+		if status := n.ready(t); status != http.StatusOK {
+			t.Errorf("/ready says %d", status)
+		}
+	}
+	if status, _, _ := do(t, newRequest(t, n.url, "unsafe", "after", "x")); status != http.StatusOK {
+		t.Errorf("answered %d after the return", status)
+	}
+}
+
+// A node that is told to stop does not come back, and one that has not heard of its servers is not in service.
+func TestPhases(t *testing.T) {
+	for name, tc := range map[string]struct {
+		signals []signal
+		want    phase
+		refused bool // of the last signal
+	}{
+		"heard":                      {[]signal{heard}, serving, false},
+		"drained before it is heard": {[]signal{drain, heard}, drained, false},
+		"taken back too early":       {[]signal{drain, resume}, starting, false},
+		"taken back, then heard":     {[]signal{drain, resume, heard}, serving, false},
+		"drained and back, twice":    {[]signal{heard, drain, resume, drain, resume}, serving, false},
+		"no way back":                {[]signal{heard, leave, resume}, leaving, true},
+		"drained, then told to stop": {[]signal{heard, drain, leave}, leaving, false},
+		"out of service as it is":    {[]signal{heard, leave, drain}, leaving, false},
+	} {
+		l := &lifecycle{moved: func(phase, phase) {}}
+		ok := true
+		for _, s := range tc.signals {
+			ok = l.take(s)
+		}
+		if l.now() != tc.want || ok == tc.refused {
+			t.Errorf("%s: %v, allowed %v", name, l.now(), ok)
+		}
+	}
+}
+
+// A door that cannot open is said before anything is served.
+func TestDoorTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	cfg := testConfig(t, "pushed")
+	cfg.Control = taken.Addr().String()
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := n.Run(ctx); err == nil || !strings.HasPrefix(err.Error(), "control: ") {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,14 +8,13 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"deckrelay"
 )
 
 const (
-	reserved    = 32                     // descriptors for the listener, discovery, logs and the runtime
+	reserved    = 24 + doorPlaces        // descriptors for the listeners, discovery, logs, the runtime and the door
 	anyLimit    = 1024                   // sockets where no limit is set
 	frontNotice = 450 * time.Millisecond // the front still deals us connections so long after SIGTERM
 	lastCalls   = 150 * time.Millisecond // then answers end their connections for so long
@@ -29,18 +28,10 @@
 	loop    *loop
 	pool    *pool
 	disc    *discovery
-	inbound int         // connections from callers at once
-	heard   atomic.Bool // discovery has spoken, or had its time
-	state   atomic.Int32
+	life    *lifecycle
+	inbound *bounded // callers' connections; nil until it listens
 }
 
-// States of a node, in order.
-const (
-	serving int32 = iota
-	leaving       // told to stop: not ready, but still taking all that comes
-	closing       // every answer ends its connection
-)
-
 // New wires a node. It opens nothing yet.
 func New(cfg Config, logger *slog.Logger) (*Node, error) {
 	bal, err := deckrelay.New(cfg.Settings, cfg.Seed)
@@ -53,13 +44,13 @@
 	n := &Node{cfg: cfg, log: logger}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal)
-	n.inbound = (cfg.Sockets - reserved) * 5 / 8
-	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-n.inbound, n.loop.results)
+	n.life = &lifecycle{notice: frontNotice, moved: n.moved}
+	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-inboundPlaces(cfg.Sockets), n.loop.results)
 	n.loop.sender = n.pool
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
 		select {
 		case n.loop.lists <- w:
-			n.heard.Store(true)
+			n.life.take(heard)
 			return nil
 		case <-ctx.Done():
 			return ctx.Err()
@@ -69,14 +60,21 @@
 	return n, nil
 }
 
+// inboundPlaces is how many connections callers may hold at once.
+func inboundPlaces(sockets int) int { return (sockets - reserved) * 5 / 8 }
+
 // Run serves until ctx ends, then drains: it takes what still comes while the front notices, answers
 // what it holds and returns nil.
 func (n *Node) Run(ctx context.Context) error {
+	door, err := listenDoor(n.cfg.Control)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
 	ln, err := net.Listen("tcp", n.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return n.serve(ctx, ln)
+	return n.serve(ctx, ln, door)
 }
 
 // Reconfigure takes over what may change while a node runs: the address of discovery.
@@ -85,7 +83,8 @@
 	n.disc.move(cfg.Discovery)
 }
 
-func (n *Node) serve(ctx context.Context, ln net.Listener) error {
+// serve runs on its listeners until ctx ends; door may be nil.
+func (n *Node) serve(ctx context.Context, ln, doorAt net.Listener) error {
 	var owned sync.WaitGroup
 	own := func(f func()) {
 		owned.Add(1)
@@ -98,32 +97,47 @@
 	n.loop.lists <- news{list: n.cfg.Known.whole(), cached: true}
 	watching, stopWatching := context.WithCancel(context.Background())
 	own(func() { n.disc.run(watching) })
-	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
+	grace := time.AfterFunc(firstList, func() { n.life.take(heard) })
 	defer grace.Stop()
 
-	inbound := bound(ln, n.inbound, &n.loop.stats)
+	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), func() { n.loop.stats.count(func(s *stats) { s.accepted++ }) })
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
 			gone: n.loop.gone, stopped: n.loop.stop, stats: &n.loop.stats,
-			methods: methods(n.cfg.Settings.Classes), ready: n.ready,
-			closing: func() bool { return n.state.Load() >= closing }},
+			methods: methods(n.cfg.Settings.Classes), ready: n.ready, closing: n.life.sendsAway},
 		ReadTimeout:    readTime, // of header and body together
 		IdleTimeout:    idleTime,
-		ConnState:      inbound.track,
+		ConnState:      n.inbound.track,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placedKey{}, c) },
 		MaxHeaderBytes: 16 << 10,
 		ErrorLog:       slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(inbound) }()
-	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "tier", n.cfg.Settings.Tier)
+	failed := make(chan error, 2)
+	go func() { failed <- server.Serve(n.inbound) }()
+	opened := 1
+	var operators *http.Server
+	if doorAt != nil {
+		opened++
+		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load}, n.log)
+		go func() { failed <- operators.Serve(bound(doorAt, doorPlaces, func() {})) }()
+	}
+	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "control", n.cfg.Control,
+		"tier", n.cfg.Settings.Tier)
 
 	var err error
 	select {
 	case err = <-failed:
 		err = fmt.Errorf("serve: %w", err)
+		opened--
 	case <-ctx.Done():
 		n.drain(server)
-		if serveErr := <-failed; !errors.Is(serveErr, http.ErrServerClosed) {
+	}
+	server.Close()
+	if doorAt != nil { // the last to go: it answers while callers are sent away
+		operators.Close()
+	}
+	for range opened {
+		if serveErr := <-failed; err == nil && !errors.Is(serveErr, http.ErrServerClosed) {
 			err = fmt.Errorf("serve: %w", serveErr)
 		}
 	}
@@ -135,25 +149,32 @@
 	return err
 }
 
-// ready says that the node can serve: it knows a server in service, from discovery itself if that answers.
-func (n *Node) ready() bool {
-	return n.heard.Load() && n.loop.usable.Load() && n.state.Load() == serving
+// ready says that callers may come: the node knows a server in service, from discovery itself if that answers.
+func (n *Node) ready() bool { return n.life.now() == serving && n.loop.usable.Load() }
+
+// moved follows the lifecycle. Out of service, what callers hold without a request is closed once they have had
+// time to notice; the answers to all others end their connections.
+func (n *Node) moved(from, to phase) {
+	n.log.Info("phase", "from", from.String(), "to", to.String())
+	if to == drained {
+		time.AfterFunc(frontNotice+lastCalls, func() {
+			if n.life.sendsAway() {
+				n.inbound.closeWaiting()
+			}
+		})
+	}
 }
 
 // drain stops serving without losing a request. A listener closed at once would reset the
 // connections that the front still deals out, and idle ones closed at once would cross requests.
 func (n *Node) drain(server *http.Server) {
-	n.log.Info("leaving")
-	n.state.Store(leaving)
-	time.Sleep(frontNotice)
-	n.state.Store(closing)
-	time.Sleep(lastCalls)
+	n.life.take(leave)
+	time.Sleep(frontNotice + lastCalls)
 	longest := longestDeadline(n.cfg.Settings)
 	ctx, cancel := context.WithTimeout(context.Background(), longest+20*time.Millisecond)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("connections left open", "err", err) // none of them is owed an answer any more
-		server.Close()
 	}
 }
 
