Counters at the door, from the same counts as the log's line

Design: the node's counts run from its start and never fall; the log's line is the difference of two, the door's figures are the counts as they are. Rejected: a copy published every half second, which is as old as the page allows before it is even read; and counting avoided servers in the node, which does not know the module's reasons. An attempt counts as written when its last byte is handed over, not when it ends.

--- /dev/null
+++ b/figures.go
@@ -0,0 +1,27 @@
+package deckrelay
+
+import "time"
+
+// Servers says how many servers the list has, and how many of these the Balancer avoids at the
+// clock time now: those that want
+// nothing new, that health keeps out of the draw, or that refused what they had no room for. It
+// decides nothing itself: it asks the rules by which choose passes servers over, for a request that must not run twice.
+func (b *Balancer) Servers(now time.Duration) (listed, avoided int) {
+	b.now = max(b.now, now)
+	drawn := map[*server]bool{}
+	for _, p := range b.pools {
+		out := b.ruledOut(&request{class: &class{pool: p}}, p.ready)
+		for i, s := range p.ready {
+			drawn[s] = drawn[s] || !out[i] && s.calls < b.roomy(s)
+		}
+	}
+	for _, s := range b.servers {
+		if s.listed {
+			listed++
+			if !drawn[s] {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -77,7 +77,7 @@
 // turnDown answers what is no proper request and ends its connection: the body may not have been read to
 // its end, and what follows on the connection need not be a request.
 func (h *callers) turnDown(w http.ResponseWriter, status int, err error) {
-	h.stats.count(func(s *stats) { s.turned = turned{s.turned.n + 1, err.Error()} })
+	h.stats.turnedDown(err.Error())
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,8 +16,10 @@
 // door answers the operators. It shares nothing with the callers' side that could make it wait: neither
 // listener nor places, and a call reads only what is at hand.
 type door struct {
-	life   *lifecycle
-	usable func() bool // some server is known to be in service
+	life    *lifecycle
+	usable  func() bool // some server is known to be in service
+	asks    chan<- chan<- figures
+	stopped <-chan struct{} // the loop has ended
 }
 
 // newDoor serves one call a connection. When all places are taken, the oldest connection makes room whatever it
@@ -44,11 +47,12 @@
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	calls := map[string]struct {
 		method string
-		answer func() int
+		answer func(http.ResponseWriter)
 	}{
-		"/control/ready":          {http.MethodGet, func() int { return yes(d.life.knows() && d.usable()) }},
-		"/control/out-of-service": {http.MethodPut, func() int { return yes(d.life.take(drain)) }},
-		"/control/in-service":     {http.MethodPut, func() int { return yes(d.life.take(resume)) }},
+		"/control/counters":       {http.MethodGet, d.counters},
+		"/control/ready":          {http.MethodGet, yes(func() bool { return d.life.knows() && d.usable() })},
+		"/control/out-of-service": {http.MethodPut, yes(func() bool { return d.life.take(drain) })},
+		"/control/in-service":     {http.MethodPut, yes(func() bool { return d.life.take(resume) })},
 	}
 	call, ok := calls[r.URL.Path]
 	switch {
@@ -58,13 +62,27 @@
 		w.Header().Set("Allow", call.method)
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	default:
-		w.WriteHeader(call.answer())
+		call.answer(w)
 	}
 }
 
-func yes(ok bool) int {
-	if ok {
-		return http.StatusOK
+// counters answers with the figures as they are now, so that they are never old.
+func (d *door) counters(w http.ResponseWriter) {
+	answer := make(chan figures, 1)
+	select {
+	case d.asks <- answer:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(<-answer) // fails only as the caller leaves
+	case <-d.stopped:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// yes answers yes or no.
+func yes(is func() bool) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		if !is() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	}
-	return http.StatusServiceUnavailable
 }
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -240,3 +242,52 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// The figures say what callers and servers saw, from the start of the process, and agree with the log's counts.
+func TestCounters(t *testing.T) {
+	release := make(chan struct{})
+	good := newBackend(t, func(n int, c net.Conn, r *http.Request) bool {
+		switch r.Header.Get("X-Call-Id") {
+		case "held":
+			<-release
+		case "broken":
+			return respond(c, "500 Internal Server Error", "")
+		case "full":
+			return respond(c, "503 Service Unavailable", "", "X-Rejected: 1")
+		}
+		return respond(c, "200 OK", "done")
+	})
+	n := startWith(t, good)
+	read := func() (f figures) {
+		t.Helper()
+		status, text := n.ask(t, "GET", "/control/counters")
+		if err := json.Unmarshal([]byte(text), &f); status != http.StatusOK || err != nil {
+			t.Fatalf("%d %q: %v", status, text, err)
+		}
+		return f
+	}
+	for class, ids := range map[string][]string{"unsafe": {"1", "2", "broken", "full"}, "keyed": {"3"}} {
+		for _, id := range ids {
+			do(t, newRequest(t, n.url, class, id, "x"))
+		}
+	}
+	held := make(chan bool)
+	go func() {
+		do(t, newRequest(t, n.url, "unsafe", "held", "x"))
+		held <- true
+	}()
+	eventually(t, "it is out", func() bool { return good.requests() == 6 })
+	want := figures{Success: perClass{"unsafe": 2, "keyed": 1, "safe": 0}, Busy: perClass{"unsafe": 1, "keyed": 0, "safe": 0},
+		Failure: perClass{"unsafe": 1, "keyed": 0, "safe": 0}, Written: 6, Inflight: 1, Listed: 1, Down: 1}
+	if got := read(); !reflect.DeepEqual(got, want) { // the one server has just refused for want of room
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	close(release)
+	<-held
+	if got := read(); got.Inflight != 0 || got.Success["unsafe"] != 3 {
+		t.Errorf("after the last answer %+v", got)
+	}
+	if c := n.loop.stats.snapshot(); c.served.sum() != 4 || c.written != 6 {
+		t.Errorf("the log would say %+v", c)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -80,20 +80,21 @@
 	arrivals chan *call
 	gone     chan *call
 	results  chan result
+	asks     chan chan<- figures // takes its answer without blocking
 	stop     chan struct{}
 
 	calls   map[string]*call
 	targets map[string]*target
 	wakes   wakeHeap
-	stats   stats
+	stats   *stats
 	out     int         // attempts without an ending
 	usable  atomic.Bool // some listed server is in service
 }
 
-func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
-	return &loop{clock: ck, log: log, bal: bal,
+func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer, st *stats) *loop {
+	return &loop{clock: ck, log: log, bal: bal, stats: st,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), stop: make(chan struct{}),
+		results: make(chan result), asks: make(chan chan<- figures), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -127,17 +128,19 @@
 			l.takeCall(c)
 		case c := <-l.gone:
 			if !c.closed.Swap(true) {
-				l.stats.left++
+				l.stats.count(func(c *counts) { c.left++ })
 				l.handle(deckrelay.ClientGone{ID: c.req.ID})
 				l.forget(c)
 			}
 		case r := <-l.results:
 			l.takeResult(r)
+		case to := <-l.asks:
+			to <- l.stats.figures(l.bal.Servers(l.clock.now()))
 		case <-timer.C:
 		case <-report.C:
-			l.stats.report(l.log, len(l.calls), l.out)
+			l.stats.report(l.log, l.out)
 		case <-l.stop:
-			l.stats.report(l.log, len(l.calls), l.out)
+			l.stats.report(l.log, l.out)
 			return
 		}
 	}
@@ -169,7 +172,7 @@
 		return
 	}
 	l.calls[c.req.ID] = c
-	l.stats.taken++
+	l.stats.count(func(c *counts) { c.taken++ })
 	l.handle(c.req)
 }
 
@@ -198,7 +201,7 @@
 		return
 	}
 	c.reply <- a
-	l.stats.answered(a.status, c.attempts)
+	l.stats.answered(c.req.Class, a.status, c.attempts)
 	l.forget(c)
 }
 
@@ -213,13 +216,9 @@
 	c := r.att.call
 	c.out--
 	l.out--
-	l.stats.endings[r.ending]++
-	l.stats.waited += l.clock.now() - r.att.started
-	if r.err != nil {
-		l.stats.fault = r.err.Error()
-	}
+	l.stats.ended(r.ending, l.clock.now()-r.att.started, r.err)
 	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
-		l.stats.answered(http.StatusOK, c.attempts)
+		l.stats.answered(c.req.Class, http.StatusOK, c.attempts)
 		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
 	}
 	l.handle(deckrelay.Outcome{ID: c.req.ID, Attempt: r.att.n, Server: r.att.target.id, Ending: r.ending,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,9 +43,9 @@
 	}
 	n := &Node{cfg: cfg, log: logger}
 	ck := newClock()
-	n.loop = newLoop(ck, logger, bal)
+	n.loop = newLoop(ck, logger, bal, newStats(cfg.Settings.Classes))
 	n.life = &lifecycle{notice: frontNotice, moved: n.moved}
-	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-inboundPlaces(cfg.Sockets), n.loop.results)
+	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-inboundPlaces(cfg.Sockets), n.loop.results, n.loop.stats)
 	n.loop.sender = n.pool
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
 		select {
@@ -100,10 +100,10 @@
 	grace := time.AfterFunc(firstList, func() { n.life.take(heard) })
 	defer grace.Stop()
 
-	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), func() { n.loop.stats.count(func(s *stats) { s.accepted++ }) })
+	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), func() { n.loop.stats.count(func(c *counts) { c.accepted++ }) })
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
-			gone: n.loop.gone, stopped: n.loop.stop, stats: &n.loop.stats,
+			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats,
 			methods: methods(n.cfg.Settings.Classes), ready: n.ready, closing: n.life.sendsAway},
 		ReadTimeout:    readTime, // of header and body together
 		IdleTimeout:    idleTime,
@@ -118,7 +118,7 @@
 	var operators *http.Server
 	if doorAt != nil {
 		opened++
-		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load}, n.log)
+		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
 		go func() { failed <- operators.Serve(bound(doorAt, doorPlaces, func() {})) }()
 	}
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "control", n.cfg.Control,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -52,6 +52,7 @@
 	idleFor time.Duration
 	most    int // connections at once
 	results chan<- result
+	stats   *stats
 
 	mu   sync.Mutex
 	open map[*conn]bool
@@ -60,9 +61,9 @@
 	wg   sync.WaitGroup
 }
 
-func newPool(ck clock, cfg Config, most int, results chan<- result) *pool {
+func newPool(ck clock, cfg Config, most int, results chan<- result, st *stats) *pool {
 	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, results: results,
+		idleFor: cfg.connIdle / 2, most: most, results: results, stats: st,
 		open: map[*conn]bool{}, idle: list.New()}
 }
 
@@ -118,6 +119,7 @@
 		p.close(c)
 		return ended(deckrelay.Unreachable, err) // the last byte was not written
 	}
+	p.stats.count(func(c *counts) { c.written++ })
 	r := <-c.replies
 	switch {
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -15,7 +15,7 @@
 )
 
 func testPool(t *testing.T) *pool {
-	p := newPool(newClock(), testConfig(t, "pushed"), 8, nil)
+	p := newPool(newClock(), testConfig(t, "pushed"), 8, nil, newStats(nil))
 	t.Cleanup(p.shut)
 	return p
 }
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -12,78 +13,150 @@
 // reportEvery bounds the volume of the log: one line for so long in which anything happened.
 const reportEvery = 5 * time.Second
 
-// stats counts what a node did since its last report. Each report starts them anew.
+// counts are of what a node did since it started. They never fall, so a log line is the difference of two.
+type counts struct {
+	accepted                int // connections from callers
+	turned                  int // turned down before the module saw it
+	taken, left             int // requests, and those whose clients left
+	served, refused, failed perClass
+	unsent                  int // refused or failed without an attempt
+	written                 int // attempts that went whole to a server
+	endings                 [deckrelay.Void + 1]int
+	waited                  time.Duration // over all attempts that ended
+}
+
+// perClass counts by the class's name.
+type perClass map[string]int
+
+func (p perClass) sum() (n int) {
+	for _, v := range p {
+		n += v
+	}
+	return n
+}
+
+// inflight is the requests taken and not ended.
+func (c *counts) inflight() int {
+	return c.taken - c.left - c.served.sum() - c.refused.sum() - c.failed.sum()
+}
+
+// stats is the one source of the log's counts and of the figures at the door.
 type stats struct {
-	mu       sync.Mutex // the HTTP server's goroutines count the next two
-	accepted int        // connections from callers
-	turned   turned
-
-	// The loop's alone.
-	taken, served, refused, failed, left int
-	unsent                               int // refused or failed without an attempt
-	endings                              [deckrelay.Void + 1]int
-	waited                               time.Duration // over all attempts that ended
-	fault                                string        // why the last attempt that lacks an answer does
+	mu     sync.Mutex
+	now    counts
+	last   counts // as they were at the last report
+	fault  string // why the last attempt that lacks an answer does
+	reason string // of the last one turned down; it stands for the others
 }
 
-// turned is what was turned down before the module saw it.
-type turned struct {
-	n    int
-	last string // the reason of the last one stands for the others
+func newStats(classes []deckrelay.Class) *stats {
+	s := &stats{now: counts{served: perClass{}, refused: perClass{}, failed: perClass{}}}
+	for _, c := range classes {
+		s.now.served[c.Name], s.now.refused[c.Name], s.now.failed[c.Name] = 0, 0, 0
+	}
+	return s
 }
 
 var endingNames = [...]string{deckrelay.Success: "ok", deckrelay.Failure: "error", deckrelay.Overloaded: "full",
 	deckrelay.TimedOut: "timeout", deckrelay.Unreachable: "unreachable", deckrelay.Broken: "reset",
 	deckrelay.Withdrawn: "withdrawn", deckrelay.Void: "void"}
 
-// count changes the part that goroutines share.
-func (s *stats) count(f func(*stats)) {
+func (s *stats) count(f func(*counts)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f(s)
+	f(&s.now)
 }
 
-// answered counts a final answer of the loop's.
-func (s *stats) answered(status, attempts int) {
-	switch status {
-	case http.StatusOK:
-		s.served++
-	case http.StatusServiceUnavailable:
-		s.refused++
-	default:
-		s.failed++
-	}
-	if attempts == 0 {
-		s.unsent++
+// snapshot is the counts as they are; nothing that is counted later changes it.
+func (s *stats) snapshot() counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.now
+	c.served, c.refused, c.failed = maps.Clone(c.served), maps.Clone(c.refused), maps.Clone(c.failed)
+	return c
+}
+
+// turnedDown counts what was turned down.
+func (s *stats) turnedDown(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now.turned++
+	s.reason = reason
+}
+
+// answered counts a final answer.
+func (s *stats) answered(class string, status, attempts int) {
+	s.count(func(c *counts) {
+		switch status {
+		case http.StatusOK:
+			c.served[class]++
+		case http.StatusServiceUnavailable:
+			c.refused[class]++
+		default:
+			c.failed[class]++
+		}
+		if attempts == 0 {
+			c.unsent++
+		}
+	})
+}
+
+// ended counts the ending of an attempt.
+func (s *stats) ended(e deckrelay.Ending, took time.Duration, why error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now.endings[e]++
+	s.now.waited += took
+	if why != nil {
+		s.fault = why.Error()
 	}
 }
 
-// report logs the counts of the time since the last one, if there are any, and starts anew.
-func (s *stats) report(log *slog.Logger, open, out int) {
+// report logs the counts of the time since the last one, if there are any.
+func (s *stats) report(log *slog.Logger, out int) {
+	now, was := s.snapshot(), s.last
+	s.last = now // the loop alone reports
 	s.mu.Lock()
-	accepted, down := s.accepted, s.turned
-	s.accepted, s.turned = 0, turned{}
+	fault, reason := s.fault, s.reason
+	s.fault, s.reason = "", ""
 	s.mu.Unlock()
 	ended := 0
-	attempts := make([]any, 0, len(s.endings)+2)
-	for e, n := range s.endings {
-		ended += n
-		if n > 0 {
+	attempts := make([]any, 0, len(now.endings)+2)
+	for e := range now.endings {
+		if n := now.endings[e] - was.endings[e]; n > 0 {
+			ended += n
 			attempts = append(attempts, slog.Int(endingNames[e], n))
 		}
 	}
-	if accepted+down.n+s.taken+s.served+s.refused+s.failed+s.left+ended == 0 {
+	accepted, turned, taken, left := now.accepted-was.accepted, now.turned-was.turned, now.taken-was.taken, now.left-was.left
+	served, refused, failed := now.served.sum()-was.served.sum(), now.refused.sum()-was.refused.sum(), now.failed.sum()-was.failed.sum()
+	if accepted+turned+taken+served+refused+failed+left+ended == 0 {
 		return
 	}
 	if ended > 0 {
-		attempts = append(attempts, slog.Duration("mean", s.waited/time.Duration(ended)))
+		attempts = append(attempts, slog.Duration("mean", (now.waited-was.waited)/time.Duration(ended)))
 	}
-	if s.fault != "" {
-		attempts = append(attempts, slog.String("fault", s.fault))
+	if fault != "" {
+		attempts = append(attempts, slog.String("fault", fault))
 	}
-	log.Info("counts", "taken", s.taken, "served", s.served, "refused", s.refused, "failed", s.failed, "left", s.left,
-		"unsent", s.unsent, "open", open, "out", out, slog.Group("ended", attempts...),
-		"accepted", accepted, "turned_down", down.n, "reason", down.last)
-	s.taken, s.served, s.refused, s.failed, s.left, s.unsent = 0, 0, 0, 0, 0, 0
-	s.endings, s.waited, s.fault = [deckrelay.Void + 1]int{}, 0, ""
+	log.Info("counts", "taken", taken, "served", served, "refused", refused, "failed", failed, "left", left,
+		"unsent", now.unsent-was.unsent, "open", now.inflight(), "out", out, "written", now.written-was.written,
+		slog.Group("ended", attempts...), "accepted", accepted, "turned_down", turned, "reason", reason)
+}
+
+// figures are the counts in the form that operators read.
+type figures struct {
+	Success  perClass `json:"success"`
+	Busy     perClass `json:"busy"`
+	Failure  perClass `json:"failure"`
+	Written  int      `json:"backend_calls"`
+	Inflight int      `json:"inflight"`
+	Listed   int      `json:"hosts_listed"`
+	Down     int      `json:"hosts_down"`
+}
+
+func (s *stats) figures(listed, down int) figures {
+	c := s.snapshot()
+	return figures{Success: c.served, Busy: c.refused, Failure: c.failed, Written: c.written,
+		Inflight: c.inflight(), Listed: listed, Down: down}
 }
--- a/internal/node/stats_test.go
+++ b/internal/node/stats_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"log/slog"
 	"strings"
 	"testing"
@@ -13,26 +14,37 @@
 func TestReportsOnlyWhatHappened(t *testing.T) {
 	var out strings.Builder
 	log := slog.New(slog.NewTextHandler(&out, nil))
-	var s stats
-	s.report(log, 0, 0)
+	s := newStats([]deckrelay.Class{{Name: "a"}, {Name: "b"}})
+	s.report(log, 0)
 	if out.Len() > 0 {
 		t.Errorf("nothing happened, yet it said %q", out.String())
 	}
-	s.taken = 3
-	s.answered(200, 1)
-	s.answered(503, 0)
-	s.answered(502, 2)
-	s.endings[deckrelay.Success], s.endings[deckrelay.TimedOut], s.waited = 1, 1, 3*time.Second
-	s.count(func(s *stats) { s.turned = turned{1, "odd"} })
-	s.report(log, 4, 5)
-	s.report(log, 4, 5)
-	for _, want := range []string{"taken=3 served=1 refused=1 failed=1 left=0 unsent=1 open=4 out=5",
-		"ended.ok=1 ended.timeout=1 ended.mean=1.5s", "turned_down=1 reason=odd"} {
+	happen := func() {
+		s.count(func(c *counts) { c.taken += 4 })
+		s.answered("a", 200, 1)
+		s.answered("a", 503, 0)
+		s.answered("b", 502, 2)
+		s.ended(deckrelay.Success, time.Second, nil)
+		s.ended(deckrelay.TimedOut, 2*time.Second, errors.New("late"))
+		s.turnedDown("odd")
+	}
+	happen()
+	s.report(log, 5)
+	s.report(log, 5)
+	happen()
+	s.report(log, 5)
+	for _, want := range []string{"taken=4 served=1 refused=1 failed=1 left=0 unsent=1 open=1 out=5",
+		"taken=4 served=1 refused=1 failed=1 left=0 unsent=1 open=2 out=5"} {
 		if strings.Count(out.String(), want) != 1 {
 			t.Errorf("want %q once in %q", want, out.String())
 		}
 	}
-	if n := strings.Count(out.String(), "\n"); n != 1 {
-		t.Errorf("%d lines, want 1", n)
+	for _, want := range []string{"ended.ok=1 ended.timeout=1 ended.mean=1.5s ended.fault=late", "turned_down=1 reason=odd"} {
+		if strings.Count(out.String(), want) != 2 {
+			t.Errorf("want %q twice in %q", want, out.String())
+		}
+	}
+	if n := strings.Count(out.String(), "\n"); n != 2 {
+		t.Errorf("%d lines, want 2", n)
 	}
 }
