Hand the listening socket to the process of a new version, and drain without Shutdown

Design: a Unix socket in $TMPDIR, named after the address. The new process connects, gets the listening socket itself with the old one's phase, accepts only once it can serve, says so and binds the place for the next one. The connection's end tells either that the other is gone. Both halve their descriptors and their memory limit while both live. Once the successor serves, the old one's /ready stays yes, since to callers the two are one node; told to stop, it accepts nothing more and every answer ends its connection. Rejected: SO_REUSEPORT alone, which loses what is queued at the closing listener; it stays as the fall-back where the two cannot meet. A file left by a kill refuses connections and is replaced by a rename; a mute peer there costs 1 s. Seen: "node n0 crashed (while it ran twice): exited with 1", the address was taken. Ruled out the queue: the losses stayed with the accepting closed and waited for before Shutdown. The node now closes idle connections and waits for the others itself.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -227,6 +227,7 @@
 	freed   *sync.Cond
 	most    int
 	taken   int
+	closed  bool
 	waiting *list.List // of *placed, without a request in work, the longest first
 }
 
@@ -245,7 +246,7 @@
 	p := &placed{Conn: c, of: b}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.taken >= b.most {
+	for b.taken >= b.most && !b.closed {
 		if e := b.waiting.Front(); e != nil {
 			e.Value.(*placed).closeLocked()
 		} else {
@@ -253,10 +254,27 @@
 		}
 	}
 	b.taken++
-	p.place = b.waiting.PushBack(p)
+	b.wait(p)
 	return p, nil
 }
 
+// Close ends the accepting. What was accepted before is served still.
+func (b *bounded) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.freed.Broadcast()
+	return b.Listener.Close()
+}
+
+// resize changes how many places there are. What is open beyond them stays until it ends.
+func (b *bounded) resize(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.freed.Broadcast()
+}
+
 // track is told by the HTTP server what a connection is doing. That a request has begun to arrive is no reason
 // to keep a connection: engage is told when its head is there.
 func (b *bounded) track(c net.Conn, state http.ConnState) {
@@ -267,11 +285,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !p.closed && p.place == nil {
-		p.place = b.waiting.PushBack(p)
+		b.wait(p)
 		b.freed.Signal()
 	}
 }
 
+// wait puts a connection last among those without a request in work.
+func (b *bounded) wait(p *placed) {
+	p.place, p.since = b.waiting.PushBack(p), time.Now()
+}
+
 // placedKey finds the connection in the context of its requests.
 type placedKey struct{}
 
@@ -286,15 +309,22 @@
 	p.unplace()
 }
 
-// closeWaiting closes all connections without a request in work.
-func (b *bounded) closeWaiting() {
+// closeWaiting closes the connections that have been without a request in work for so long.
+func (b *bounded) closeWaiting(age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for e := b.waiting.Front(); e != nil; e = b.waiting.Front() {
+	for e := b.waiting.Front(); e != nil && time.Since(e.Value.(*placed).since) >= age; e = b.waiting.Front() {
 		e.Value.(*placed).closeLocked()
 	}
 }
 
+// open is how many connections there are.
+func (b *bounded) open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken
+}
+
 // placed gives its place back when it is closed.
 type placed struct {
 	net.Conn
@@ -302,6 +332,7 @@
 
 	// guarded by of.mu
 	place  *list.Element // in of.waiting; nil: a request is in work
+	since  time.Time     // when it was put there
 	closed bool
 }
 
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -323,7 +323,7 @@
 		t.Errorf("the silent connection reads %v, want it closed", err)
 	}
 	inWork(caller)
-	b.closeWaiting()
+	b.closeWaiting(0)
 	dial()
 	select {
 	case <-accepted:
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,9 @@
 	Sockets   int
 	Known     roster // the servers as this node last had them
 	Settings  deckrelay.Settings
+	Shared    func(processes int) // told when so many processes share the limits; may be nil
 
+	handover       string        // where a process that takes over this address finds this one; "": nowhere
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
 }
@@ -44,6 +46,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.handover = handoverPath(os.Getenv("TMPDIR"), c.Listen)
 	return c, nil
 }
 
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -189,7 +189,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.done <- n.serve(ctx, ln, door)
+		r.done <- n.serve(ctx, ln, door, nil)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -37,8 +37,7 @@
 
 // lifecycle is the one state machine of a node.
 type lifecycle struct {
-	notice time.Duration      // how long callers are still dealt to a node that says no
-	moved  func(phase, phase) // is told of every change, in order; must not block
+	moved func(phase, phase) // is told of every change, in order; must not block
 
 	mu    sync.Mutex
 	phase phase
@@ -81,9 +80,12 @@
 	return l.heard && l.phase != leaving
 }
 
-// sendsAway says that every answer ends its connection: callers have had time to notice the first no.
-func (l *lifecycle) sendsAway() bool {
+// away is for how long callers have been told to go elsewhere; 0: they may come.
+func (l *lifecycle) away() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.phase >= drained && time.Since(l.since) >= l.notice
+	if l.phase < drained {
+		return 0
+	}
+	return time.Since(l.since)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,8 @@
 	anyLimit    = 1024                   // sockets where no limit is set
 	frontNotice = 450 * time.Millisecond // the front still deals us connections so long after SIGTERM
 	lastCalls   = 150 * time.Millisecond // then answers end their connections for so long
+	tendEvery   = 20 * time.Millisecond  // how often a look is taken at what callers sent away hold
+	leastPlaces = 4                      // connections on either side, however many processes share the limit
 	firstList   = time.Second            // how long to wait for fresh news before the known list must do
 )
 
@@ -30,6 +32,10 @@
 	disc    *discovery
 	life    *lifecycle
 	inbound *bounded // callers' connections; nil until it listens
+
+	handover *handover // nil until it listens
+	sharing  sync.Mutex
+	others   int // processes that share the limits
 }
 
 // New wires a node. It opens nothing yet.
@@ -44,7 +50,7 @@
 	n := &Node{cfg: cfg, log: logger}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal, newStats(cfg.Settings.Classes))
-	n.life = &lifecycle{notice: frontNotice, moved: n.moved}
+	n.life = &lifecycle{moved: func(from, to phase) { logger.Info("phase", "from", from.String(), "to", to.String()) }}
 	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-inboundPlaces(cfg.Sockets), n.loop.results, n.loop.stats)
 	n.loop.sender = n.pool
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
@@ -70,11 +76,18 @@
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	ln, err := net.Listen("tcp", n.cfg.Listen)
+	before, err := succeed(n.cfg.handover)
+	if err != nil {
+		n.log.Warn("nothing was handed over", "err", err)
+	}
+	if before != nil {
+		return n.serve(ctx, before.ln, door, before)
+	}
+	ln, err := listenShared(n.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return n.serve(ctx, ln, door)
+	return n.serve(ctx, ln, door, nil)
 }
 
 // Reconfigure takes over what may change while a node runs: the address of discovery.
@@ -83,8 +96,8 @@
 	n.disc.move(cfg.Discovery)
 }
 
-// serve runs on its listeners until ctx ends; door may be nil.
-func (n *Node) serve(ctx context.Context, ln, doorAt net.Listener) error {
+// serve runs on its listeners until ctx ends; doorAt and before may be nil.
+func (n *Node) serve(ctx context.Context, ln, doorAt net.Listener, before *predecessor) error {
 	var owned sync.WaitGroup
 	own := func(f func()) {
 		owned.Add(1)
@@ -104,7 +117,7 @@
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
 			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats,
-			methods: methods(n.cfg.Settings.Classes), ready: n.ready, closing: n.life.sendsAway},
+			methods: methods(n.cfg.Settings.Classes), ready: n.ready, closing: n.closing},
 		ReadTimeout:    readTime, // of header and body together
 		IdleTimeout:    idleTime,
 		ConnState:      n.inbound.track,
@@ -112,35 +125,69 @@
 		MaxHeaderBytes: 16 << 10,
 		ErrorLog:       slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(n.inbound) }()
-	opened := 1
+	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share}
+	begun := make(chan struct{}) // callers are accepted here
+	if before == nil {
+		close(begun)
+	} else {
+		n.share(+1)
+		if before.phase == drained {
+			n.life.take(drain)
+		}
+		alone := make(chan struct{})
+		defer before.conn.Close()
+		go func() { // ends with the connection
+			before.gone()
+			close(alone)
+			n.share(-1)
+		}()
+		own(func() {
+			defer close(begun)
+			n.await(ctx, alone)
+		})
+	}
+	accepting, failed := make(chan error, 1), make(chan error, 1)
+	go func() {
+		<-begun
+		accepting <- server.Serve(n.inbound)
+	}()
+	meeting, stopMeeting := context.WithCancel(context.Background())
+	own(func() {
+		<-begun
+		if before != nil {
+			before.serves()
+		}
+		if n.handover.path != "" {
+			n.handover.serve(meeting)
+		}
+	})
+	own(func() { n.tend(meeting) })
 	var operators *http.Server
 	if doorAt != nil {
-		opened++
 		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
-		go func() { failed <- operators.Serve(bound(doorAt, doorPlaces, func() {})) }()
+		own(func() {
+			if err := operators.Serve(bound(doorAt, doorPlaces, func() {})); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
 	}
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "control", n.cfg.Control,
 		"tier", n.cfg.Settings.Tier)
 
 	var err error
 	select {
-	case err = <-failed:
+	case err = <-accepting:
 		err = fmt.Errorf("serve: %w", err)
-		opened--
+	case err = <-failed:
+		err = fmt.Errorf("control: %w", err)
 	case <-ctx.Done():
-		n.drain(server)
+		n.drain(accepting)
 	}
+	stopMeeting()
 	server.Close()
-	if doorAt != nil { // the last to go: it answers while callers are sent away
+	if operators != nil { // the last to go: it answers while callers are sent away
 		operators.Close()
 	}
-	for range opened {
-		if serveErr := <-failed; err == nil && !errors.Is(serveErr, http.ErrServerClosed) {
-			err = fmt.Errorf("serve: %w", serveErr)
-		}
-	}
 	stopWatching()
 	n.pool.shut()
 	close(n.loop.stop)
@@ -150,31 +197,86 @@
 }
 
 // ready says that callers may come: the node knows a server in service, from discovery itself if that answers.
-func (n *Node) ready() bool { return n.life.now() == serving && n.loop.usable.Load() }
-
-// moved follows the lifecycle. Out of service, what callers hold without a request is closed once they have had
-// time to notice; the answers to all others end their connections.
-func (n *Node) moved(from, to phase) {
-	n.log.Info("phase", "from", from.String(), "to", to.String())
-	if to == drained {
-		time.AfterFunc(frontNotice+lastCalls, func() {
-			if n.life.sendsAway() {
-				n.inbound.closeWaiting()
+// To callers two processes are one node: while this one leaves, its successor has them.
+func (n *Node) ready() bool {
+	switch n.life.now() {
+	case serving:
+		return n.loop.usable.Load()
+	case leaving:
+		return n.handover.passed.Load()
+	}
+	return false
+}
+
+// closing says that every answer ends its connection.
+func (n *Node) closing() bool {
+	return n.life.away() >= frontNotice || n.life.now() == leaving && n.handover.passed.Load()
+}
+
+// await returns when this process can serve, or has to because the one before is gone.
+func (n *Node) await(ctx context.Context, alone <-chan struct{}) {
+	look := time.NewTicker(5 * time.Millisecond)
+	defer look.Stop()
+	for !(n.life.knows() && n.loop.usable.Load()) {
+		select {
+		case <-look.C:
+		case <-alone:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// share changes how many more processes the limits are for.
+func (n *Node) share(more int) {
+	n.sharing.Lock()
+	defer n.sharing.Unlock()
+	n.others += more
+	sockets := n.cfg.Sockets / (1 + n.others)
+	in := max(leastPlaces, inboundPlaces(sockets))
+	n.inbound.resize(in)
+	n.pool.resize(max(leastPlaces, sockets-reserved-in))
+	if n.cfg.Shared != nil {
+		n.cfg.Shared(1 + n.others)
+	}
+}
+
+// tend closes callers' connections without a request while they are sent away. An old one has had the time to
+// get its last answer; a young one may have a request on its way.
+func (n *Node) tend(ctx context.Context) {
+	look := time.NewTicker(tendEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+			if n.life.away() >= frontNotice+lastCalls {
+				n.inbound.closeWaiting(lastCalls)
 			}
-		})
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// drain stops serving without losing a request. A listener closed at once would reset the
-// connections that the front still deals out, and idle ones closed at once would cross requests.
-func (n *Node) drain(server *http.Server) {
+// drain stops serving without losing a request. A listener closed at once would reset the connections that the
+// front still deals out, and idle ones closed at once would cross requests. Server.Shutdown will not do: it ends a
+// connection without an answer when its request is read after the call.
+func (n *Node) drain(accepting <-chan error) {
 	n.life.take(leave)
+	end := time.Now().Add(frontNotice + lastCalls + longestDeadline(n.cfg.Settings) + 20*time.Millisecond)
+	if n.handover.passed.Load() {
+		n.inbound.Close() // the successor has the queue
+	}
 	time.Sleep(frontNotice + lastCalls)
-	longest := longestDeadline(n.cfg.Settings)
-	ctx, cancel := context.WithTimeout(context.Background(), longest+20*time.Millisecond)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.log.Warn("connections left open", "err", err) // none of them is owed an answer any more
+	n.inbound.Close()
+	<-accepting
+	for left := n.inbound.open(); left > 0; left = n.inbound.open() {
+		if time.Now().After(end) {
+			n.log.Warn("connections left open", "n", left) // none of them is owed an answer any more
+			return
+		}
+		time.Sleep(tendEvery / 4)
 	}
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -50,11 +50,11 @@
 	clock   clock
 	dialer  net.Dialer
 	idleFor time.Duration
-	most    int // connections at once
 	results chan<- result
 	stats   *stats
 
 	mu   sync.Mutex
+	most int // connections at once
 	open map[*conn]bool
 	dial int        // connections that are coming up
 	idle *list.List // of *conn, the oldest first
@@ -248,6 +248,13 @@
 	return c, nil
 }
 
+// resize changes how many connections there may be. What is open beyond them stays until it ends.
+func (p *pool) resize(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
 // park puts a connection by for the next attempt.
 func (p *pool) park(c *conn) {
 	p.mu.Lock()
