Pass long bodies through both ways, and serve chunked requests

Design: bodies of up to 64 KiB are held whole while an eighth of the memory lasts for either direction; all others pass through one buffer a connection and direction, sized so that all of them take an eighth. A slow peer holds the other side back. A body that a server began to get is gone: the module is told (Spent) and the request is refused, never sent again. Time counts from the last byte (Sent), and a server is judged by an answer's beginning (Started). Rejected: spooling to $TMPDIR, which counts as memory; waiting for a free buffer, by which slow peers would stop the others; and own parsing of HTTP. Callers' heads may take 2.5 s, their bodies come at 64 kB a second at least, counted from 2 s after the head or 2.8 s after connecting, whichever is first. A chunked request with a Content-Length is told by the bytes of its head, since net/http hides it; it gets 400 and a close as before, also if its head cannot be told apart. The server's Shutdown, ReadTimeout and the 411 for chunks are gone.

--- a/deckrelay.go
+++ b/deckrelay.go
@@ -143,6 +143,7 @@
 		Repeat   bool          // the client marked it as a repeat
 		Key      uint64        // what it is about, where HasKey
 		HasKey   bool
+		Coming   bool // its last byte has not come yet; Sent will tell
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
@@ -152,9 +153,18 @@
 		Ending  Ending
 		Latency time.Duration
 		Ended   bool
+		Spent   bool // the request's body is gone: it cannot be sent again
 		Load    *Load
 	}
-	// Started says that a streamed answer has begun: the attempt is the client's from here on.
+	// Sent says that an attempt whose request came in with it, piece by piece, is whole at its server only now:
+	// the time of both counts from here.
+	Sent struct {
+		ID       string
+		Attempt  int
+		Deadline time.Duration // clock time
+	}
+	// Started says that a streamed answer has begun: the attempt is the client's from here on, and how long
+	// the rest takes tells nothing of the server.
 	Started struct {
 		ID      string
 		Attempt int
@@ -170,6 +180,7 @@
 func (Request) event()    {}
 func (Outcome) event()    {}
 func (Started) event()    {}
+func (Sent) event()       {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
 
--- /dev/null
+++ b/internal/node/body_test.go
@@ -0,0 +1,309 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const long = 40 * maxBody
+
+// noise is a body without a pattern that a misplaced piece could hide in.
+func noise(n int) string {
+	b := make([]byte, n)
+	for i, x := 0, uint32(1); i < n; i++ {
+		x = x*1664525 + 1013904223
+		b[i] = byte(x >> 24)
+	}
+	return string(b)
+}
+
+// Bodies of all sizes and framings pass both ways unchanged.
+func TestBodiesPassUnchanged(t *testing.T) {
+	framings := map[string]func(c net.Conn, body string) bool{
+		"length": func(c net.Conn, body string) bool { return respond(c, "200 OK", body) },
+		"chunks": func(c net.Conn, body string) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for len(body) > 0 {
+				n := min(len(body), 1+len(body)%5000)
+				fmt.Fprintf(c, "%x;ext=1\r\n%s\r\n", n, body[:n])
+				body = body[n:]
+			}
+			_, err := io.WriteString(c, "0\r\nX-Trailer: 1\r\n\r\n")
+			return err == nil
+		},
+		"close": func(c net.Conn, body string) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+body)
+			return false
+		},
+	}
+	for name, frame := range framings {
+		for _, size := range []int{0, 1, maxBody - 1, maxBody, maxBody + 1, long} {
+			body := noise(size)
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool { return frame(c, body) })
+			n := startWith(t, b)
+			for i, chunked := range []bool{false, true} {
+				r := newRequest(t, n.url, "unsafe", fmt.Sprint(i), body)
+				if chunked {
+					r.ContentLength = -1
+				}
+				status, _, got := do(t, r)
+				if status != http.StatusOK || got != body || b.body[i] != body {
+					t.Errorf("%s, %d bytes, chunked %v: status %d, the caller got %d bytes, the server %d", name, size, chunked,
+						status, len(got), len(b.body[i]))
+				}
+			}
+		}
+	}
+}
+
+// An answer that breaks off is never passed off as whole, however long it was, and is not counted as served.
+func TestBrokenLongAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", long),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", long),
+	} {
+		b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+noise(long/2))
+			return false
+		})
+		n := startWith(t, b)
+		resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "1", "x"))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		if err == nil {
+			t.Errorf("%s: passed off as whole", name)
+		}
+		eventually(t, "it is counted", func() bool {
+			c := n.loop.stats.snapshot()
+			return c.failed["unsafe"] == 1 && c.served["unsafe"] == 0 && c.inflight() == 0
+		})
+	}
+}
+
+// The first bytes of a long answer reach the caller while the server still holds the rest, and a caller that does
+// not read holds the server back.
+func TestAnswersArePassedOnAsTheyCome(t *testing.T) {
+	const total = maxStream - 1
+	release := make(chan struct{})
+	var written atomic.Int64
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", total)
+		io.WriteString(c, "first")
+		<-release
+		piece := make([]byte, 32<<10)
+		for left := total - 5; left > 0; {
+			n, err := c.Write(piece[:min(left, len(piece))])
+			written.Add(int64(n))
+			if left -= n; err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	n := startWith(t, b)
+	resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "1", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, 5)
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != "first" {
+		t.Fatalf("got %q, %v", first, err)
+	}
+	close(release)
+	var before int64 = -1
+	eventually(t, "the server is held back", func() bool {
+		was := before
+		before = written.Load()
+		time.Sleep(50 * time.Millisecond)
+		return before > 0 && was == before
+	})
+	if before == total-5 {
+		t.Error("the node took the whole answer in")
+	}
+	if rest, err := io.Copy(io.Discard, resp.Body); rest != total-5 || err != nil {
+		t.Errorf("the rest was %d bytes, %v", rest, err)
+	}
+}
+
+// open sends a request's head on a connection of its own.
+func open(t *testing.T, n *running, length string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Call-Id: %s\r\nX-Call-Class: unsafe\r\nX-Budget: 30000m\r\n%s\r\n\r\n",
+		c.LocalAddr(), length)
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func status(t *testing.T, c net.Conn) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// A proper caller may take 2 s for its head and send its body at 64 kB a second.
+func TestSlowCallerIsServed(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, ok)
+	n := startWith(t, b)
+	for _, size := range []int{48e3, 192e3} { // held whole, passed on
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			head := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: s\r\nX-Call-Id: slow-%d\r\nX-Call-Class: unsafe\r\n"+
+				"X-Budget: 30000m\r\nContent-Length: %d\r\n\r\n", size, size)
+			for _, part := range []string{head[:10], head[10:50], head[50:]} {
+				time.Sleep(600 * time.Millisecond)
+				io.WriteString(c, part)
+			}
+			for begin, left := time.Now(), size; left > 0; left -= 6400 {
+				io.WriteString(c, strings.Repeat("x", min(left, 6400)))
+				time.Sleep(time.Until(begin.Add(time.Duration(size-left+6400) * time.Second / 64000)))
+			}
+			c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if got := status(t, c); got != http.StatusOK {
+				t.Errorf("answered %d", got)
+			}
+		})
+	}
+}
+
+// A long body that stops coming is turned down or closed within the limit, and no server has a whole request of it.
+func TestStalledBodyIsTurnedDown(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, ok)
+	n := startWith(t, b)
+	for _, length := range []string{"Content-Length: 1000000", "Transfer-Encoding: chunked"} {
+		t.Run(length, func(t *testing.T) {
+			t.Parallel()
+			begin := time.Now()
+			c := open(t, n, length)
+			if length[0] == 'T' {
+				io.WriteString(c, "f4240\r\n")
+			}
+			io.WriteString(c, "half")
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && (resp.StatusCode < 400 || resp.StatusCode > 499) {
+				t.Errorf("answered %d", resp.StatusCode)
+			} else if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("left open")
+			}
+			if took := time.Since(begin); took > 2900*time.Millisecond {
+				t.Errorf("after %v", took)
+			}
+			if got := b.requests(); got != 0 {
+				t.Errorf("a server saw %d requests", got)
+			}
+		})
+	}
+}
+
+// A long body that no server has begun to get goes to the next one; one that was begun is gone, and the request is
+// refused at once, since it never ran.
+func TestLongBodyIsSentAgainOnlyWhole(t *testing.T) {
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing.Close()
+	good := newBackend(t, ok)
+	cfg := testConfig(t, "pushed", inService("s-0", refusing.Addr().String()), inService("s-1", good.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	n := start(t, cfg)
+	body := noise(long)
+	for i := range 8 { // the draw meets the refusing one in some
+		if got, _, _ := do(t, newRequest(t, n.url, "unsafe", fmt.Sprint(i), body)); got != http.StatusOK {
+			t.Errorf("answered %d", got)
+		}
+	}
+	cutting, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cutting.Close()
+	var cuts atomic.Int64
+	go func() {
+		for {
+			c, err := cutting.Accept()
+			if err != nil {
+				return
+			}
+			cuts.Add(1)
+			io.ReadFull(c, make([]byte, maxBody))
+			c.Close()
+		}
+	}()
+	cfg = testConfig(t, "pushed", inService("s-0", cutting.Addr().String()), inService("s-1", cutting.Addr().String()))
+	cfg.Discovery = silentDiscovery(t)
+	n = start(t, cfg)
+	c := open(t, n, fmt.Sprintf("Content-Length: %d", long))
+	go io.WriteString(c, body)
+	if got := status(t, c); got != http.StatusServiceUnavailable {
+		t.Errorf("answered %d, want 503", got)
+	}
+	if got := cuts.Load(); got != 1 {
+		t.Errorf("sent %d times", got)
+	}
+}
+
+// What is held whole is bounded in sum; what there is no room for passes through, and all room comes back.
+func TestBudgetsAreKept(t *testing.T) {
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", noise(1000)) })
+	cfg := testConfig(t, "pushed", inService("s", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	const room = 1500 // for one of either kind
+	n := start(t, cfg, func(n *Node) {
+		n.buffers.requests.left.Store(room)
+		n.buffers.answers.left.Store(room)
+	})
+	done := make(chan error)
+	for i := range 20 {
+		r := newRequest(t, n.url, "keyed", fmt.Sprint(i), noise(1000))
+		go func() {
+			resp, err := http.DefaultClient.Do(r)
+			if err == nil {
+				var got []byte
+				if got, err = io.ReadAll(resp.Body); err == nil && !bytes.Equal(got, []byte(noise(1000))) {
+					err = errors.New("changed")
+				}
+				resp.Body.Close()
+			}
+			done <- err
+		}()
+	}
+	for range 20 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	eventually(t, "all room is back", func() bool {
+		return n.buffers.requests.left.Load() == room && n.buffers.answers.left.Load() == room
+	})
+	small := newBudget(10)
+	if l := small.take(8); l == nil || small.take(3) != nil {
+		t.Error("a budget gave more than it has")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -35,13 +35,18 @@
 	url      *url.URL
 	host     string
 	header   http.Header
-	body     []byte
+	body     []byte  // whole, or what was read before the request was taken
+	held     *lease  // for body
+	rest     *upload // what comes after body; nil: nothing
+	length   int64   // of both; -1: not known
+	budget   time.Duration
 	deadline time.Duration
 	reply    chan answer // takes the one final answer without blocking
 	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
 
 	attempts int
 	out      int
+	counted  bool // as taken
 }
 
 // answer is the final answer to a call.
@@ -50,16 +55,38 @@
 	retryAfter  time.Duration
 	contentType string
 	body        []byte
+	held        *lease    // for body
+	rest        *download // what comes after body; nil: nothing
+}
+
+// drop gives up an answer that nobody gets.
+func (a answer) drop() {
+	a.held.shrink(0)
+	if a.rest != nil {
+		a.rest.end(errClosed, true)
+	}
 }
 
 // result is how an attempt ended.
 type result struct {
-	att         *attempt
-	ending      deckrelay.Ending
-	load        *deckrelay.Load
-	contentType string
-	body        []byte
-	err         error // why there is no answer
+	att    *attempt
+	ending deckrelay.Ending
+	load   *deckrelay.Load
+	answer answer
+	passed bool  // the answer was passed on while it came
+	err    error // why there is no answer
+}
+
+// sent is the moment at which an attempt whose request was passed on while it came is whole at its server.
+type sent struct {
+	att *attempt
+	at  time.Duration
+}
+
+// begun is an answer that is passed on while it comes.
+type begun struct {
+	att    *attempt
+	answer answer
 }
 
 // sender carries attempts to servers. No method may block.
@@ -80,6 +107,8 @@
 	arrivals chan *call
 	gone     chan *call
 	results  chan result
+	sents    chan sent
+	begins   chan begun
 	asks     chan chan<- figures // takes its answer without blocking
 	stop     chan struct{}
 
@@ -94,7 +123,7 @@
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer, st *stats) *loop {
 	return &loop{clock: ck, log: log, bal: bal, stats: st,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), asks: make(chan chan<- figures), stop: make(chan struct{}),
+		results: make(chan result), sents: make(chan sent), begins: make(chan begun), asks: make(chan chan<- figures), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -127,13 +156,14 @@
 		case c := <-l.arrivals:
 			l.takeCall(c)
 		case c := <-l.gone:
-			if !c.closed.Swap(true) {
-				l.stats.count(func(c *counts) { c.left++ })
-				l.handle(deckrelay.ClientGone{ID: c.req.ID})
-				l.forget(c)
-			}
+			l.leave(c)
+			l.forget(c)
 		case r := <-l.results:
 			l.takeResult(r)
+		case s := <-l.sents:
+			l.takeSent(s)
+		case b := <-l.begins:
+			l.takeBegun(b)
 		case to := <-l.asks:
 			to <- l.stats.figures(l.bal.Servers(l.clock.now()))
 		case <-timer.C:
@@ -172,10 +202,52 @@
 		return
 	}
 	l.calls[c.req.ID] = c
-	l.stats.count(func(c *counts) { c.taken++ })
+	if c.rest == nil {
+		l.count(c)
+	}
 	l.handle(c.req)
 }
 
+// count counts a call as taken: when its last byte is there, or when it has its answer before that.
+func (l *loop) count(c *call) {
+	if !c.counted {
+		c.counted = true
+		l.stats.count(func(c *counts) { c.taken++ })
+	}
+}
+
+// leave ends a call whose client is gone.
+func (l *loop) leave(c *call) {
+	if c.closed.Swap(true) {
+		return
+	}
+	if c.counted {
+		l.stats.count(func(c *counts) { c.left++ })
+	}
+	l.handle(deckrelay.ClientGone{ID: c.req.ID})
+}
+
+// takeSent starts the time of a request that came piece by piece.
+func (l *loop) takeSent(s sent) {
+	c := s.att.call
+	c.deadline = s.at + c.budget
+	if !c.closed.Load() {
+		l.count(c)
+	}
+	l.handle(deckrelay.Sent{ID: c.req.ID, Attempt: s.att.n, Deadline: c.deadline})
+}
+
+// takeBegun gives a long answer to the caller as it comes. It is counted when it has ended.
+func (l *loop) takeBegun(b begun) {
+	c := b.att.call
+	if c.closed.Swap(true) {
+		b.answer.drop()
+		return
+	}
+	l.handle(deckrelay.Started{ID: c.req.ID, Attempt: b.att.n})
+	c.reply <- b.answer
+}
+
 func (l *loop) send(now time.Duration, a deckrelay.Send) {
 	c := l.calls[a.ID]
 	if c == nil {
@@ -183,7 +255,7 @@
 		return
 	}
 	att := &attempt{call: c, n: c.attempts, target: l.targets[a.Server],
-		deadline: min(now+a.Timeout, c.deadline)}
+		wait: a.Timeout, deadline: min(now+a.Timeout, c.deadline)}
 	if att.target == nil { // no such server any more: the attempt ends unsent
 		att.target = &target{id: a.Server}
 		att.target.stopped.Store(true)
@@ -201,6 +273,7 @@
 		return
 	}
 	c.reply <- a
+	l.count(c)
 	l.stats.answered(c.req.Class, a.status, c.attempts)
 	l.forget(c)
 }
@@ -209,6 +282,7 @@
 func (l *loop) forget(c *call) {
 	if c.closed.Load() && c.out == 0 && l.calls[c.req.ID] == c {
 		delete(l.calls, c.req.ID)
+		c.held.shrink(0)
 	}
 }
 
@@ -217,12 +291,27 @@
 	c.out--
 	l.out--
 	l.stats.ended(r.ending, l.clock.now()-r.att.started, r.err)
-	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
+	var spent bool
+	if c.rest != nil && !c.closed.Load() {
+		spent = c.rest.touched.Load()
+		if why := c.rest.failed(); why != nil { // no server is to blame, and no other would get more of it
+			l.leave(c)
+			c.reply <- answer{status: http.StatusRequestTimeout}
+		}
+	}
+	switch {
+	case r.passed:
+		l.count(c)
+		l.stats.answered(c.req.Class, r.answer.status, c.attempts)
+	case r.ending == deckrelay.Success && !c.closed.Swap(true):
+		l.count(c)
 		l.stats.answered(c.req.Class, http.StatusOK, c.attempts)
-		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
+		c.reply <- r.answer
+	default:
+		r.answer.drop()
 	}
 	l.handle(deckrelay.Outcome{ID: c.req.ID, Attempt: r.att.n, Server: r.att.target.id, Ending: r.ending,
-		Latency: l.clock.now() - r.att.started, Ended: c.closed.Load(), Load: r.load})
+		Latency: l.clock.now() - r.att.started, Ended: c.closed.Load(), Spent: spent, Load: r.load})
 	l.forget(c)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	pool    *pool
 	disc    *discovery
 	life    *lifecycle
+	buffers buffers
 	inbound *bounded // callers' connections; nil until it listens
 
 	handover *handover // nil until it listens
@@ -51,7 +52,9 @@
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal, newStats(cfg.Settings.Classes))
 	n.life = &lifecycle{moved: func(from, to phase) { logger.Info("phase", "from", from.String(), "to", to.String()) }}
-	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-inboundPlaces(cfg.Sockets), n.loop.results, n.loop.stats)
+	in := inboundPlaces(cfg.Sockets)
+	n.buffers = newBuffers(cfg.MemoryMB, in)
+	n.pool = newPool(cfg, cfg.Sockets-reserved-in, n.loop, n.buffers)
 	n.loop.sender = n.pool
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
 		select {
@@ -116,14 +119,14 @@
 	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), func() { n.loop.stats.count(func(c *counts) { c.accepted++ }) })
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
-			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats,
+			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats, buffers: n.buffers,
 			methods: methods(n.cfg.Settings.Classes), ready: n.ready, closing: n.closing},
-		ReadTimeout:    readTime, // of header and body together
-		IdleTimeout:    idleTime,
-		ConnState:      n.inbound.track,
-		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placedKey{}, c) },
-		MaxHeaderBytes: 16 << 10,
-		ErrorLog:       slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+		ReadHeaderTimeout: headTime,
+		IdleTimeout:       idleTime,
+		ConnState:         n.inbound.track,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placedKey{}, c) },
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share}
 	begun := make(chan struct{}) // callers are accepted here
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -19,9 +20,8 @@
 )
 
 const (
-	maxBody   = 64 << 10    // of a request or an answer
-	maxHeader = 16 << 10    // of an answer, with the interim ones before it
-	maxFramed = 8 * maxBody // of an answer's body with its chunks' framing
+	maxBody   = 64 << 10 // of a request or an answer
+	maxHeader = 16 << 10 // of an answer, with the interim ones before it
 )
 
 // target is a server at one address, from one start of it to the next.
@@ -39,6 +39,7 @@
 	call     *call
 	n        int
 	target   *target
+	wait     time.Duration // for an answer, or for the server to take the next bytes of a body that passes through
 	deadline time.Duration
 	started  time.Duration
 }
@@ -50,8 +51,12 @@
 	clock   clock
 	dialer  net.Dialer
 	idleFor time.Duration
+	stall   time.Duration // a server that gives nothing more of a long answer for so long is gone
 	results chan<- result
+	sents   chan<- sent
+	begins  chan<- begun
 	stats   *stats
+	buffers buffers
 
 	mu   sync.Mutex
 	most int // connections at once
@@ -61,9 +66,10 @@
 	wg   sync.WaitGroup
 }
 
-func newPool(ck clock, cfg Config, most int, results chan<- result, st *stats) *pool {
-	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, results: results, stats: st,
+func newPool(cfg Config, most int, l *loop, b buffers) *pool {
+	return &pool{clock: l.clock, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
+		idleFor: cfg.connIdle / 2, stall: cfg.connIdle, most: most, buffers: b,
+		results: l.results, sents: l.sents, begins: l.begins, stats: l.stats,
 		open: map[*conn]bool{}, idle: list.New()}
 }
 
@@ -79,17 +85,26 @@
 
 	// guarded by pool.mu
 	place    *list.Element // in pool.idle; nil: in use
-	deadline time.Time     // of what it now waits for
+	deadline time.Time     // of what it now waits for; zero: none
 	dead     bool
+	gone     chan struct{} // closed when it is dead
 }
 
 // reply is what came back on a connection.
 type reply struct {
 	resp *http.Response
 	body []byte
+	held *lease    // for body
+	rest *download // what comes after body; nil: nothing
 	err  error
+
+	early bool // the server had not seen the whole request: the connection is out of step
 }
 
+func (r reply) drop() { answer{held: r.held, rest: r.rest}.drop() }
+
+var errDropped = errors.New("the rest of the answer is not wanted")
+
 // start runs an attempt in a goroutine that ends with its result.
 func (p *pool) start(att *attempt) {
 	att.started = p.clock.now()
@@ -115,21 +130,38 @@
 		p.park(c)
 		return ended(deckrelay.Void, nil)
 	}
-	if _, err := c.Write(p.message(att)); err != nil {
+	r, err := p.exchange(c, att)
+	switch {
+	case err != nil && att.call.rest != nil && att.call.rest.failed() != nil:
+		p.close(c)
+		return ended(deckrelay.Void, err) // the caller did not give the last byte
+	case err != nil:
 		p.close(c)
 		return ended(deckrelay.Unreachable, err) // the last byte was not written
-	}
-	p.stats.count(func(c *counts) { c.written++ })
-	r := <-c.replies
-	switch {
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
 		return ended(deckrelay.TimedOut, nil) // the reader has closed the connection
 	case r.err != nil:
 		return ended(deckrelay.Broken, r.err)
 	}
-	res := result{att: att, ending: ending(r.resp), load: load(r.resp.Header),
-		contentType: r.resp.Header.Get("Content-Type"), body: r.body}
-	if r.resp.Close {
+	res := result{att: att, ending: ending(r.resp), load: load(r.resp.Header), answer: answer{status: http.StatusOK,
+		contentType: r.resp.Header.Get("Content-Type"), body: r.body, held: r.held, rest: r.rest}}
+	switch {
+	case r.rest == nil:
+	case res.ending != deckrelay.Success:
+		r.rest.end(errDropped, true) // a long error is nobody's
+		res.answer.rest = nil
+	default:
+		p.begins <- begun{att, res.answer}
+		<-r.rest.over
+		res.passed = true
+		if res.err = r.rest.err; res.err != nil {
+			res.answer.status, res.ending = http.StatusBadGateway, deckrelay.Broken
+			if r.rest.ours {
+				res.ending = deckrelay.Withdrawn
+			}
+		}
+	}
+	if r.early || r.resp.Close || r.rest != nil && r.rest.err != nil {
 		p.close(c)
 	} else {
 		p.park(c)
@@ -137,27 +169,93 @@
 	return res
 }
 
+// exchange writes the request and waits for what comes back. The error says why the last byte was not written.
+func (p *pool) exchange(c *conn, att *attempt) (reply, error) {
+	if att.call.rest == nil {
+		if _, err := c.Write(p.message(att)); err != nil {
+			return reply{}, err
+		}
+		p.stats.count(func(c *counts) { c.written++ })
+		return <-c.replies, nil
+	}
+	p.setDeadline(c, time.Time{}) // the time for an answer runs from the last byte on
+	bw := bufio.NewWriterSize(&paced{conn: c, wait: att.wait}, p.buffers.chunk)
+	err := p.request(att, io.MultiReader(bytes.NewReader(att.call.body), att.call.rest)).Write(bw)
+	if err == nil {
+		err = bw.Flush()
+	}
+	if err == nil {
+		p.stats.count(func(c *counts) { c.written++ })
+		now := p.clock.now()
+		p.setDeadline(c, p.clock.at(now+min(att.wait, att.call.budget)))
+		p.sents <- sent{att, now}
+		return <-c.replies, nil
+	}
+	// The server may have answered what it had not seen the end of. If not, the close makes the reader say so.
+	if !errors.Is(err, errEarly) {
+		p.close(c)
+	}
+	r := <-c.replies
+	if r.err != nil || !errors.Is(err, errEarly) {
+		r.drop()
+		return reply{}, err
+	}
+	r.early = true
+	return r, nil
+}
+
+var errEarly = errors.New("answered before the end of the request")
+
+// paced writes a body as a server takes it, until that answers.
+type paced struct {
+	*conn
+	wait time.Duration
+}
+
+func (w *paced) Write(b []byte) (int, error) {
+	if len(w.replies) > 0 {
+		return 0, errEarly
+	}
+	w.SetWriteDeadline(time.Now().Add(w.wait))
+	n, err := w.conn.Write(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errEarly // it broke, and what the server said last is still to be read
+	}
+	return n, err
+}
+
 func (p *pool) maySend(att *attempt) bool {
 	return !att.call.closed.Load() && !att.target.stopped.Load() && p.clock.now() < att.deadline
 }
 
-// message is the request as it goes to a server: as it came, but for the time that is left.
+// message is the whole request as it goes to a server.
 func (p *pool) message(att *attempt) []byte {
+	var body io.Reader
+	if len(att.call.body) > 0 {
+		body = bytes.NewReader(att.call.body)
+	}
+	var b bytes.Buffer
+	p.request(att, body).Write(&b) // neither the buffer nor the body can fail
+	return b.Bytes()
+}
+
+// request is a request as it came, but for the time that is left, which runs from its last byte.
+func (p *pool) request(att *attempt, body io.Reader) *http.Request {
 	c := att.call
 	header := c.header.Clone()
-	left := max((att.deadline - p.clock.now()).Microseconds(), 1)
-	header.Set("X-Budget", strconv.FormatInt(left, 10)+"u")
+	left := att.deadline - p.clock.now()
+	if c.rest != nil {
+		left = min(att.wait, c.budget)
+	}
+	header.Set("X-Budget", strconv.FormatInt(max(left.Microseconds(), 1), 10)+"u")
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // else Request.Write adds its own
 	}
-	req := http.Request{Method: c.method, URL: c.url, Host: c.host, Header: header,
-		ContentLength: int64(len(c.body))}
-	if len(c.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(c.body))
+	req := &http.Request{Method: c.method, URL: c.url, Host: c.host, Header: header, ContentLength: c.length}
+	if body != nil {
+		req.Body = io.NopCloser(body)
 	}
-	var b bytes.Buffer
-	req.Write(&b) // neither the buffer nor the body can fail
-	return b.Bytes()
+	return req
 }
 
 // ending reads off an answer how the attempt ended.
@@ -237,7 +335,7 @@
 	}
 	in := &io.LimitedReader{R: nc}
 	c := &conn{Conn: nc, pool: p, target: t, in: in, br: bufio.NewReaderSize(in, 4<<10),
-		replies: make(chan reply, 1), deadline: deadline}
+		replies: make(chan reply, 1), deadline: deadline, gone: make(chan struct{})}
 	p.open[c] = true
 	nc.SetDeadline(deadline)
 	p.wg.Add(1)
@@ -255,6 +353,14 @@
 	p.most = most
 }
 
+// setDeadline changes until when a connection in use waits.
+func (p *pool) setDeadline(c *conn, t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.deadline = t
+	c.SetDeadline(t)
+}
+
 // park puts a connection by for the next attempt.
 func (p *pool) park(c *conn) {
 	p.mu.Lock()
@@ -295,6 +401,7 @@
 		return
 	}
 	c.dead = true
+	close(c.gone)
 	if c.place != nil {
 		p.unpark(c)
 	}
@@ -330,7 +437,7 @@
 		_, err := c.br.Peek(1)
 		c.pool.mu.Lock()
 		idle := c.place != nil
-		if !idle && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.deadline) {
+		if !idle && errors.Is(err, os.ErrDeadlineExceeded) && (c.deadline.IsZero() || time.Now().Before(c.deadline)) {
 			c.pool.mu.Unlock() // the idle time ran out just as an attempt took the connection
 			continue
 		}
@@ -349,13 +456,19 @@
 			}
 		}
 		c.replies <- r
-		if r.err != nil || r.resp.Close {
+		if r.rest != nil {
+			select {
+			case <-r.rest.over:
+			case <-c.gone:
+			}
+		}
+		if r.err != nil || r.resp.Close || r.rest != nil && r.rest.err != nil {
 			return
 		}
 	}
 }
 
-// answer reads one whole answer.
+// answer reads an answer: whole if it is short and there is room, else up to what is to be passed on.
 func (c *conn) answer() reply {
 	for {
 		resp, err := http.ReadResponse(c.br, nil)
@@ -365,13 +478,29 @@
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		c.in.N = maxFramed
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err == nil && len(body) > maxBody {
-			err = errors.New("answer too large")
+		c.in.N = math.MaxInt64
+		d := &download{conn: c, resp: resp, over: make(chan struct{})}
+		room := int(min(uint64(resp.ContentLength), maxBody)) // all of it, if the length is not known
+		held := c.pool.buffers.answers.take(room)
+		if resp.ContentLength > maxBody || held == nil {
+			held.shrink(0)
+			return reply{resp: resp, rest: d}
 		}
-		// Bytes that nobody asked for would pass as the answer to the next request.
-		resp.Close = resp.Close || c.br.Buffered() > 0
-		return reply{resp: resp, body: body, err: err}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+		held.shrink(len(body))
+		if err != nil {
+			held.shrink(0)
+			return reply{err: err}
+		}
+		if len(body) < maxBody || resp.ContentLength == maxBody {
+			d.check()
+			return reply{resp: resp, body: body, held: held}
+		}
+		return reply{resp: resp, body: body, held: held, rest: d}
 	}
 }
+
+// check sees to it that bytes that nobody asked for do not pass as the answer to the next request.
+func (d *download) check() {
+	d.resp.Close = d.resp.Close || d.conn.br.Buffered() > 0
+}
--- a/policy.go
+++ b/policy.go
@@ -127,19 +127,20 @@
 
 // request is an accepted request, kept until it is answered and its attempts have ended.
 type request struct {
-	id        string
-	class     *class
-	arrived   time.Duration
-	deadline  time.Duration
-	attempts  []*attempt
-	out       int
-	repeat    bool  // by the client, where clients say so
-	over      bool  // beyond its tenant's share
-	line      *line // nil: free of order
-	held      bool
-	answered  bool
-	streaming bool
-	wake      time.Duration
+	id       string
+	class    *class
+	arrived  time.Duration
+	deadline time.Duration
+	attempts []*attempt
+	out      int
+	repeat   bool  // by the client, where clients say so
+	over     bool  // beyond its tenant's share
+	line     *line // nil: free of order
+	coming   bool  // its last byte has not come yet
+	spent    bool  // it cannot be sent again
+	wake     time.Duration
+
+	held, answered, streaming bool
 }
 
 // attempt is one send of a request.
@@ -148,6 +149,7 @@
 	srv    *server
 	n      int
 	sent   time.Duration
+	began  time.Duration // its answer, where that passes through
 	zone   string
 	cell   int
 	ended  bool
@@ -177,15 +179,13 @@
 
 func (b *Balancer) addClass(c Class) {
 	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
-	for _, p := range b.pools {
-		if reflect.DeepEqual([][]string{p.zones, p.kinds}, [][]string{c.OnlyZones, c.OnlyKinds}) {
-			k.pool = p
-		}
-	}
-	if k.pool == nil {
-		k.pool = &pool{zones: c.OnlyZones, kinds: c.OnlyKinds}
-		b.pools = append(b.pools, k.pool)
+	i := slices.IndexFunc(b.pools, func(p *pool) bool {
+		return reflect.DeepEqual([][]string{p.zones, p.kinds}, [][]string{c.OnlyZones, c.OnlyKinds})
+	})
+	if i < 0 {
+		i, b.pools = len(b.pools), append(b.pools, &pool{zones: c.OnlyZones, kinds: c.OnlyKinds})
 	}
+	k.pool = b.pools[i]
 	b.classes[c.Name] = k
 	b.order = append(b.order, k)
 }
@@ -207,8 +207,14 @@
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
-		if r := b.requests[e.ID]; r != nil {
-			r.streaming = true
+		if r := b.requests[e.ID]; r != nil && e.Attempt < len(r.attempts) {
+			r.streaming, r.attempts[e.Attempt].began = true, b.now
+		}
+	case Sent:
+		if r := b.requests[e.ID]; r != nil && r.coming && e.Attempt < len(r.attempts) {
+			a := r.attempts[e.Attempt] // its body took time that is not the servers'
+			r.arrived, r.deadline, r.coming = r.arrived+b.now-a.sent, e.Deadline, false
+			a.sent = b.now
 		}
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
@@ -361,7 +367,8 @@
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
+	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
+		coming: e.Coming}
 	b.requests[e.ID] = r
 	r.over = len(b.tenants) > 0 && !b.tenants[e.Tenant].within(b.now)
 	b.backdate(r)
@@ -540,6 +547,7 @@
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
 	r.out--
+	r.spent = r.spent || e.Spent
 	r.class.pool.inFlight--
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
@@ -555,7 +563,7 @@
 	}
 	switch {
 	case e.Ended:
-		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+		if e.Ending == Success && !r.answered && a.sent+b.took(a) <= r.arrived+r.class.Aim {
 			r.class.serve++
 		}
 		b.close(r)
@@ -755,18 +763,27 @@
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
-	if len(s.open) == 0 {
+	i := slices.IndexFunc(s.open, func(a *attempt) bool { return !a.req.coming && !a.req.streaming })
+	if i < 0 {
 		return false
 	}
-	a := s.open[0]
+	a := s.open[i]
 	wait := b.overlong(a.req.class)
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
 
+// took is how long an attempt's answer took, or took to begin: its reader sets the pace of the rest.
+func (b *Balancer) took(a *attempt) time.Duration {
+	if a.began > 0 {
+		return a.began - a.sent
+	}
+	return b.now - a.sent
+}
+
 // judge learns from an ending: the class's latency, the server's health relative to its peers.
 func (b *Balancer) judge(a *attempt, e Outcome) {
 	s, c := a.srv, a.req.class
-	took := float64(b.now - a.sent)
+	took := float64(b.took(a))
 	if e.Ending == Success || e.Ending == TimedOut {
 		c.pool.compare(slices.Contains(c.pool.near, s), math.Log(max(took, 1)/c.mean))
 	}
@@ -825,7 +842,7 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+	if r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts) {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -876,7 +893,7 @@
 		return
 	}
 	p := r.class.pool
-	over := float64(b.now-r.attempts[e.Attempt].sent) / float64(r.class.Aim)
+	over := float64(b.took(r.attempts[e.Attempt])) / float64(r.class.Aim)
 	if e.Ending != Success {
 		over = max(over, 1)
 	}
