Read on after a refusal while the caller keeps its pace, and count cut-off heads

Ruled out: heads out of time, for none was closed half-read; and idle closes, for no connection was found closed by a caller. What was closed with a request in work had been refused 2 s before, its body still coming at 64 kB a second: the reading on after the answer ended after 2 s whatever the caller did (upload.discard). It now ends when the caller falls behind its pace. The counts line says how many connections made room (evicted) and how many were closed with half a head.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -95,7 +95,7 @@
 	if u.err != nil {
 		return 0, u.err
 	}
-	u.rc.SetReadDeadline(u.from.Add(time.Duration(float64(u.n) / slowest * float64(time.Second))))
+	u.expect()
 	n, err := u.body.Read(b)
 	if n > 0 {
 		u.n += int64(n)
@@ -129,12 +129,17 @@
 	return u.err == io.EOF
 }
 
-// discard reads on for a while after stop, so that a caller that writes on gets to read its answer: a close before
-// that would reset the connection.
+// expect gives the next bytes until the time that a caller at the slowest pace sends them.
+func (u *upload) expect() {
+	u.rc.SetReadDeadline(u.from.Add(time.Duration(float64(u.n) / slowest * float64(time.Second))))
+}
+
+// discard reads on after stop, as long as the caller keeps the pace: a close before it has written its request would
+// reset the connection, and it might not get to read its answer.
 func (u *upload) discard() {
-	u.rc.SetReadDeadline(time.Now().Add(stallTime))
 	buf := make([]byte, 4<<10)
 	for n, err := 0, error(nil); err == nil && u.n < maxStream; u.n += int64(n) {
+		u.expect()
 		n, err = u.body.Read(buf)
 	}
 }
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -307,3 +307,28 @@
 		t.Error("a budget gave more than it has")
 	}
 }
+
+// A caller that is refused while its body still comes gets its answer at once, and may write on to the end.
+func TestRefusedCallerMayWriteOn(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, ok)
+	n := startWith(t, b)
+	b.ln.Close()
+	c := open(t, n, "Content-Length: 256000")
+	begin := time.Now()
+	if got := status(t, c); got != http.StatusServiceUnavailable {
+		t.Errorf("answered %d, want 503", got)
+	}
+	if took := time.Since(begin); took > time.Second {
+		t.Errorf("answered after %v", took)
+	}
+	for left := 256000; left > 0; left -= 6400 {
+		if _, err := c.Write(make([]byte, 6400)); err != nil {
+			t.Fatalf("cut off with %d bytes left: %v", left, err)
+		}
+		time.Sleep(time.Until(begin.Add(time.Duration(256000-left+6400) * time.Second / 64000)))
+	}
+	if rest, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection ended with %q, %v", rest, err)
+	}
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -319,7 +319,7 @@
 // longest without a request makes room: callers must not wait behind peers that send nothing, or half a head.
 type bounded struct {
 	net.Listener
-	accepted func()
+	stats *stats
 
 	mu      sync.Mutex
 	freed   *sync.Cond
@@ -329,8 +329,8 @@
 	waiting *list.List // of *placed, without a request in work, the longest first
 }
 
-func bound(ln net.Listener, most int, accepted func()) *bounded {
-	b := &bounded{Listener: ln, accepted: accepted, most: most, waiting: list.New()}
+func bound(ln net.Listener, most int, st *stats) *bounded {
+	b := &bounded{Listener: ln, stats: st, most: most, waiting: list.New()}
 	b.freed = sync.NewCond(&b.mu)
 	return b
 }
@@ -340,12 +340,13 @@
 	if err != nil {
 		return nil, err
 	}
-	b.accepted()
+	b.stats.count(func(c *counts) { c.accepted++ })
 	p := &placed{Conn: c, of: b, born: time.Now()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.taken >= b.most && !b.closed {
 		if e := b.waiting.Front(); e != nil {
+			b.stats.count(func(c *counts) { c.evicted++ })
 			e.Value.(*placed).closeLocked()
 		} else {
 			b.freed.Wait()
@@ -471,6 +472,9 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if c.place != nil && c.seen.half() {
+		c.of.stats.count(func(c *counts) { c.halves++ })
+	}
 	c.unplace()
 	c.of.taken--
 	c.of.freed.Signal()
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -54,6 +54,13 @@
 	return end
 }
 
+// half says that some of a head has come.
+func (h *head) half() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.text) > 0 && !h.full
+}
+
 // next waits for the next head.
 func (h *head) next() {
 	h.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 	grace := time.AfterFunc(firstList, func() { n.life.take(heard) })
 	defer grace.Stop()
 
-	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), func() { n.loop.stats.count(func(c *counts) { c.accepted++ }) })
+	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), n.loop.stats)
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
 			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats, buffers: n.buffers,
@@ -169,7 +169,7 @@
 	if doorAt != nil {
 		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
 		own(func() {
-			if err := operators.Serve(bound(doorAt, doorPlaces, func() {})); !errors.Is(err, http.ErrServerClosed) {
+			if err := operators.Serve(bound(doorAt, doorPlaces, newStats(nil))); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		})
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -16,6 +16,8 @@
 // counts are of what a node did since it started. They never fall, so a log line is the difference of two.
 type counts struct {
 	accepted                int // connections from callers
+	evicted                 int // of these, closed without a request in work to make room
+	halves                  int // of these, closed by the node after half a head
 	turned                  int // turned down before the module saw it
 	taken, left             int // requests, and those whose clients left
 	served, refused, failed perClass
@@ -141,7 +143,8 @@
 	}
 	log.Info("counts", "taken", taken, "served", served, "refused", refused, "failed", failed, "left", left,
 		"unsent", now.unsent-was.unsent, "open", now.inflight(), "out", out, "written", now.written-was.written,
-		slog.Group("ended", attempts...), "accepted", accepted, "turned_down", turned, "reason", reason)
+		slog.Group("ended", attempts...), "accepted", accepted,
+		"evicted", now.evicted-was.evicted, "half_heads", now.halves-was.halves, "turned_down", turned, "reason", reason)
 }
 
 // figures are the counts in the form that operators read.
