--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -277,8 +277,8 @@
 		held <- true
 	}()
 	eventually(t, "it is out", func() bool { return good.requests() == 6 })
-	want := figures{Success: perClass{"unsafe": 2, "keyed": 1, "safe": 0}, Busy: perClass{"unsafe": 1, "keyed": 0, "safe": 0},
-		Failure: perClass{"unsafe": 1, "keyed": 0, "safe": 0}, Written: 6, Inflight: 1, Listed: 1, Down: 1}
+	want := figures{Success: perName{"unsafe": 2, "keyed": 1, "safe": 0}, Busy: perName{"unsafe": 1, "keyed": 0, "safe": 0},
+		Failure: perName{"unsafe": 1, "keyed": 0, "safe": 0}, Written: 6, Inflight: 1, Listed: 1, Down: 1}
 	if got := read(); !reflect.DeepEqual(got, want) { // the one server has just refused for want of room
 		t.Errorf("got %+v, want %+v", got, want)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -290,7 +290,7 @@
 	c := r.att.call
 	c.out--
 	l.out--
-	l.stats.ended(r.ending, l.clock.now()-r.att.started, r.err)
+	l.stats.ended(r.att.target.id, r.ending, l.clock.now()-r.att.started, r.err)
 	var spent bool
 	if c.rest != nil && !c.closed.Load() {
 		spent = c.rest.touched.Load()
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,17 +21,17 @@
 	halves                  int // of these, closed by the node after half a head
 	turned                  int // turned down before the module saw it
 	taken, left             int // requests, and those whose clients left
-	served, refused, failed perClass
+	served, refused, failed perName
 	unsent                  int // refused or failed without an attempt
 	written                 int // attempts that went whole to a server
 	endings                 [deckrelay.Void + 1]int
 	waited                  time.Duration // over all attempts that ended
 }
 
-// perClass counts by the class's name.
-type perClass map[string]int
+// perName counts by the name of a class or a server.
+type perName map[string]int
 
-func (p perClass) sum() (n int) {
+func (p perName) sum() (n int) {
 	for _, v := range p {
 		n += v
 	}
@@ -46,13 +47,14 @@
 type stats struct {
 	mu     sync.Mutex
 	now    counts
-	last   counts // as they were at the last report
-	fault  string // why the last attempt that lacks an answer does
-	reason string // of the last one turned down; it stands for the others
+	last   counts  // as they were at the last report
+	fault  string  // why the last attempt that lacks an answer does
+	reason string  // of the last one turned down; it stands for the others
+	bad    perName // attempts without an answer since the last report, by server
 }
 
 func newStats(classes []deckrelay.Class) *stats {
-	s := &stats{now: counts{served: perClass{}, refused: perClass{}, failed: perClass{}}}
+	s := &stats{bad: perName{}, now: counts{served: perName{}, refused: perName{}, failed: perName{}}}
 	for _, c := range classes {
 		s.now.served[c.Name], s.now.refused[c.Name], s.now.failed[c.Name] = 0, 0, 0
 	}
@@ -103,12 +105,15 @@
 	})
 }
 
-// ended counts the ending of an attempt.
-func (s *stats) ended(e deckrelay.Ending, took time.Duration, why error) {
+// ended counts the ending of an attempt at a server.
+func (s *stats) ended(server string, e deckrelay.Ending, took time.Duration, why error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now.endings[e]++
 	s.now.waited += took
+	if e != deckrelay.Success {
+		s.bad[server]++
+	}
 	if why != nil {
 		s.fault = why.Error()
 	}
@@ -119,8 +124,8 @@
 	now, was := s.snapshot(), s.last
 	s.last = now // the loop alone reports
 	s.mu.Lock()
-	fault, reason := s.fault, s.reason
-	s.fault, s.reason = "", ""
+	fault, reason, bad := s.fault, s.reason, s.bad
+	s.fault, s.reason, s.bad = "", "", perName{}
 	s.mu.Unlock()
 	ended := 0
 	attempts := make([]any, 0, len(now.endings)+2)
@@ -138,6 +143,10 @@
 	if ended > 0 {
 		attempts = append(attempts, slog.Duration("mean", (now.waited-was.waited)/time.Duration(ended)))
 	}
+	if len(bad) > 0 { // one server that stands out is ill; many alike point at the tier behind them
+		worst := slices.MaxFunc(slices.Sorted(maps.Keys(bad)), func(a, b string) int { return bad[a] - bad[b] })
+		attempts = append(attempts, slog.Int("bad_servers", len(bad)), slog.String("worst", worst), slog.Int("worst_bad", bad[worst]))
+	}
 	if fault != "" {
 		attempts = append(attempts, slog.String("fault", fault))
 	}
@@ -149,13 +158,13 @@
 
 // figures are the counts in the form that operators read.
 type figures struct {
-	Success  perClass `json:"success"`
-	Busy     perClass `json:"busy"`
-	Failure  perClass `json:"failure"`
-	Written  int      `json:"backend_calls"`
-	Inflight int      `json:"inflight"`
-	Listed   int      `json:"hosts_listed"`
-	Down     int      `json:"hosts_down"`
+	Success  perName `json:"success"`
+	Busy     perName `json:"busy"`
+	Failure  perName `json:"failure"`
+	Written  int     `json:"backend_calls"`
+	Inflight int     `json:"inflight"`
+	Listed   int     `json:"hosts_listed"`
+	Down     int     `json:"hosts_down"`
 }
 
 func (s *stats) figures(listed, down int) figures {
--- a/internal/node/stats_test.go
+++ b/internal/node/stats_test.go
@@ -24,8 +24,8 @@
 		s.answered("a", 200, 1)
 		s.answered("a", 503, 0)
 		s.answered("b", 502, 2)
-		s.ended(deckrelay.Success, time.Second, nil)
-		s.ended(deckrelay.TimedOut, 2*time.Second, errors.New("late"))
+		s.ended("s-1", deckrelay.Success, time.Second, nil)
+		s.ended("s-1", deckrelay.TimedOut, 2*time.Second, errors.New("late"))
 		s.turnedDown("odd")
 	}
 	happen()
@@ -39,7 +39,7 @@
 			t.Errorf("want %q once in %q", want, out.String())
 		}
 	}
-	for _, want := range []string{"ended.ok=1 ended.timeout=1 ended.mean=1.5s ended.fault=late", "turned_down=1 reason=odd"} {
+	for _, want := range []string{"ended.ok=1 ended.timeout=1 ended.mean=1.5s ended.bad_servers=1 ended.worst=s-1 ended.worst_bad=1 ended.fault=late", "turned_down=1 reason=odd"} {
 		if strings.Count(out.String(), want) != 2 {
 			t.Errorf("want %q twice in %q", want, out.String())
 		}
