--- a/policy.go
+++ b/policy.go
@@ -699,8 +699,8 @@
 
 // ruledOut marks and counts the servers that health keeps out. When many look bad to one node, the fault is
 // likelier its own or the tier below's, and those left would take all the load: only the worst are out, up to
-// a share of the list that falls as more is shed: time-outs in overload show load, not ill health. A list under
-// five rounds that to none; there, one with a longer run of bad endings than all others together is ill.
+// a share of the list that falls as more is shed: time-outs in overload show load, not ill health. Under five
+// servers that rounds to none; there, one with a longer run of bad endings than all others together is ill.
 func (b *Balancer) ruledOut(r *request, list []*server) (out []bool, n int) {
 	out = make([]bool, len(list))
 	var sick []int
@@ -714,7 +714,7 @@
 	sort.SliceStable(sick, func(i, j int) bool { return list[sick[i]].streak > list[sick[j]].streak })
 	most := int(mostOut * (1 - r.class.pool.shed) * float64(len(list)))
 	if mostOut*float64(len(list)) < 1 && len(sick) > 0 && 2*list[sick[0]].streak > runs {
-		most = 1
+		most = min(1, len(r.class.pool.ready)-1) // the only one there is stays
 	}
 	for _, i := range sick[:min(len(sick), most)] {
 		out[i] = true
--- a/policy_test.go
+++ b/policy_test.go
@@ -224,6 +224,15 @@
 	}
 }
 
+// The only server there is stays in use, however ill it is.
+func TestOnlyServerIsNotKeptOut(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(1)})
+	if got := traffic(b, 100, "get", func(string) Ending { return Failure }); got["s00"] < 50 {
+		t.Errorf("first tries went %v", got)
+	}
+}
+
 // When every server fails alike the trouble is below them: nobody may be starved of calls.
 func TestFailuresEverywhereEjectFew(t *testing.T) {
 	b := newBalancer(t, nil)
