Hand over again after a successor died, and say yes only once the old process knows

Seen in a test with real processes (TestUpgradesAndKills): after a new process was killed the next one found nobody at the meeting place, listened beside the old one, and a third of the front's questions met the old one's no. Line at fault: handover.serve bound the place once, and a successor takes the name with it when it dies. The place is now bound anew after each successor. Ruled out: the old process had not lost the listener, it answered all of ten calls alone. Also seen there: the door said yes some ms before the old process knew of its successor, and a SIGTERM in between made it answer the front no. It now confirms, and the door waits for that for 1 s at most. Budgets of what is held whole are halved too while two processes share the memory, and the look at callers that are sent away runs only then. A discovery answer without hosts, whole or cut, changes no list.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -19,14 +19,20 @@
 
 // budget bounds the sum of what is held whole. It never makes anyone wait: a body for which there is no room
 // passes through.
-type budget struct{ left atomic.Int64 }
+type budget struct {
+	whole int
+	left  atomic.Int64 // below 0: what is out is over a whole that has become smaller
+}
 
 func newBudget(n int) *budget {
-	b := &budget{}
+	b := &budget{whole: n}
 	b.left.Store(int64(n))
 	return b
 }
 
+// share makes it a part of the whole. The parts are those of processes that share a limit.
+func (b *budget) share(was, now int) { b.left.Add(int64(b.whole/now - b.whole/was)) }
+
 // take reserves n bytes; nil: there is no room.
 func (b *budget) take(n int) *lease {
 	if b.left.Add(int64(-n)) < 0 {
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -51,11 +51,14 @@
 			body := noise(size)
 			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool { return frame(c, body) })
 			n := startWith(t, b)
-			for i, chunked := range []bool{false, true} {
+			for i, chunked := range []bool{false, true, false, true} {
 				r := newRequest(t, n.url, "unsafe", fmt.Sprint(i), body)
 				if chunked {
 					r.ContentLength = -1
 				}
+				if i > 1 {
+					r.Header.Set("Expect", "100-continue")
+				}
 				status, _, got := do(t, r)
 				if status != http.StatusOK || got != body || b.body[i] != body {
 					t.Errorf("%s, %d bytes, chunked %v: status %d, the caller got %d bytes, the server %d", name, size, chunked,
@@ -303,9 +306,14 @@
 		return n.buffers.requests.left.Load() == room && n.buffers.answers.left.Load() == room
 	})
 	small := newBudget(10)
-	if l := small.take(8); l == nil || small.take(3) != nil {
+	l := small.take(8)
+	if l == nil || small.take(3) != nil {
 		t.Error("a budget gave more than it has")
 	}
+	small.share(1, 2)
+	if l.shrink(0); small.take(6) != nil || small.take(5) == nil {
+		t.Error("a shared budget did not give its half")
+	}
 }
 
 // A caller that is refused while its body still comes gets its answer at once, and may write on to the end.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -179,8 +180,7 @@
 		if len(in.Bytes()) == 0 {
 			continue
 		}
-		var n roster
-		err := json.Unmarshal(in.Bytes(), &n)
+		n, err := parseRoster(in.Bytes())
 		if err == nil && !n.Whole && n.Seq < d.seq {
 			err = errGap
 		}
@@ -198,6 +198,14 @@
 	return lines, io.EOF
 }
 
+// parseRoster reads a list that came whole. One without hosts would empty the list that the node has.
+func parseRoster(text []byte) (n roster, err error) {
+	if err = json.Unmarshal(text, &n); err == nil && n.Hosts == nil {
+		err = errors.New("no hosts are named")
+	}
+	return n, err
+}
+
 // whole fetches the whole list; the next watch goes on from there.
 func (d *discovery) whole(ctx context.Context) error {
 	body, err := d.get(ctx, "")
@@ -206,8 +214,9 @@
 		return withCause(ctx, err)
 	}
 	defer body.Close()
-	var n roster
-	if err := json.NewDecoder(io.LimitReader(body, maxLine)).Decode(&n); err != nil {
+	text, err := io.ReadAll(io.LimitReader(body, maxLine))
+	n, bad := parseRoster(text)
+	if err = cmp.Or(err, bad); err != nil {
 		d.seq = 0
 		return fmt.Errorf("whole list: %w", err)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -107,6 +108,35 @@
 	}
 }
 
+// An answer that is cut off anywhere, in a watch or in a whole list, changes nothing that the node holds.
+func TestCutAnswersChangeNoList(t *testing.T) {
+	const line = `{"seq":60,"whole":true,"hosts":[{"host":"s-7","dial":"127.0.0.1:9","health":"terminated"}]}`
+	for _, rest := range []string{line, `{}`, `null`, `{"seq":60,"whole":true}`} {
+		for cut := 0; cut < len(rest); cut += 7 {
+			text := rest[:len(rest)-cut]
+			if text == line {
+				text = text[:len(text)-1]
+			}
+			calls := make(chan string, 100)
+			addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) {
+				calls <- r.URL.RawQuery
+				w.Header().Set("Content-Length", "1000")
+				io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			_, heard := watchOn(t, addr, "pushed", time.Minute)
+			for range 3 { // the watch, the whole list, the next watch
+				select {
+				case n := <-heard:
+					t.Fatalf("heard %+v after %q", n, text)
+				case <-calls:
+				}
+			}
+		}
+	}
+}
+
 // A machine that is cut off leaves its connection open: only the missing lines tell.
 func TestSilentWatchIsReplaced(t *testing.T) {
 	a, addr := newAgent(t, wholeList)
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -17,7 +17,7 @@
 // listener nor places, and a call reads only what is at hand.
 type door struct {
 	life    *lifecycle
-	usable  func() bool // some server is known to be in service
+	usable  func() bool // callers are served here, and some server is known to be in service
 	asks    chan<- chan<- figures
 	stopped <-chan struct{} // the loop has ended
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -20,6 +20,7 @@
 //
 //	old to new: one byte, its phase, with the listening socket
 //	new to old: one byte, once it serves
+//	old to new: one byte, once it knows
 //
 // The connection stays open while both live: its end tells either that the other is gone, however it went.
 const handTime = time.Second // for the old process to hand over; then the new one listens by itself
@@ -89,11 +90,18 @@
 	return err
 }
 
-// serves tells the predecessor that callers are served here too.
+// serves tells the predecessor that callers are served here too. What it says to the front from then on counts on
+// that, so nobody may be told of it before the predecessor knows.
 func (p *predecessor) serves() { p.conn.Write([]byte{1}) } // fails only if it is gone
 
-// gone returns when the predecessor has ended or the connection was closed here.
-func (p *predecessor) gone() { p.conn.Read(make([]byte, 1)) }
+// follow returns when the predecessor has ended or the connection was closed here. It says when the predecessor knows.
+func (p *predecessor) follow(knows func()) {
+	for b := make([]byte, 1); ; knows() {
+		if _, err := p.conn.Read(b); err != nil {
+			return
+		}
+	}
+}
 
 // handover gives the listener to a successor.
 type handover struct {
@@ -105,34 +113,50 @@
 	passed atomic.Bool // a successor serves
 }
 
-// serve waits for successors until ctx ends. It binds beside the path and moves the file there in one step:
-// whoever is bound at the path before loses nothing but the name.
+// serve waits for successors, one after another, until ctx ends. A successor binds the place for itself, so what it
+// left there when it died is bound anew.
 func (h *handover) serve(ctx context.Context) {
+	for ctx.Err() == nil {
+		ln, err := h.bind()
+		if err != nil {
+			h.log.Warn("no successor can take over", "err", err)
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { ln.Close() })
+		c, err := ln.Accept()
+		if err == nil {
+			h.pass(ctx, c.(*net.UnixConn))
+		} else {
+			select { // without descriptors it fails again at once
+			case <-time.After(handTime):
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil && !h.passed.Load() { // else the file is the successor's
+			os.Remove(h.path)
+		}
+		stop()
+		ln.Close()
+	}
+}
+
+// bind binds beside the path and moves the file there in one step: whoever is bound there before loses nothing but
+// the name.
+func (h *handover) bind() (*net.UnixListener, error) {
 	own := fmt.Sprintf("%s.%d", h.path, os.Getpid())
 	os.Remove(own) // left by a killed process that had this number
 	ln, err := net.Listen("unix", own)
-	if err == nil {
-		ln.(*net.UnixListener).SetUnlinkOnClose(false)
-		defer ln.Close()
-		if err = os.Rename(own, h.path); err != nil {
-			os.Remove(own)
-		}
-	}
 	if err != nil {
-		h.log.Warn("no successor can take over", "err", err)
-		return
+		return nil, err
 	}
-	defer context.AfterFunc(ctx, func() { ln.Close() })()
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil && !h.passed.Load() { // else the file is the successor's
-				os.Remove(h.path)
-			}
-			return
-		}
-		h.pass(ctx, c.(*net.UnixConn))
+	u := ln.(*net.UnixListener)
+	u.SetUnlinkOnClose(false)
+	if err := os.Rename(own, h.path); err != nil {
+		u.Close()
+		os.Remove(own)
+		return nil, err
 	}
+	return u, nil
 }
 
 // pass hands the listener to one successor and stays until that ends.
@@ -153,10 +177,11 @@
 	}
 	h.log.Info("a successor has the listener")
 	h.share(+1)
-	for b := make([]byte, 1); ; h.passed.Store(true) {
+	for b := make([]byte, 1); ; c.Write(b) {
 		if _, err := c.Read(b); err != nil {
 			break
 		}
+		h.passed.Store(true)
 		h.log.Info("the successor serves")
 	}
 	if ctx.Err() == nil { // it ended before this process did
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -70,7 +69,6 @@
 	old := process(t, cfg)
 	done := make(chan struct{})
 	var load sync.WaitGroup
-	var early atomic.Bool
 	defer load.Wait()
 	stopped := sync.OnceFunc(func() { close(done) })
 	defer stopped()
@@ -93,7 +91,7 @@
 					t.Errorf("a caller met %v %v", resp, err)
 					return
 				}
-				if j%10 == 0 && old.ready(t) != http.StatusOK && !early.Load() {
+				if j%10 == 0 && old.ready(t) != http.StatusOK {
 					t.Error("the front heard a no")
 				}
 			}
@@ -121,7 +119,6 @@
 		return young.inbound.most == inboundPlaces(cfg.Sockets)
 	})
 	third := process(t, cfg) // and so on
-	early.Store(true)        // it need not know yet that the third one serves
 	young.stop()
 	<-young.done
 	if served(third) == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"deckrelay"
@@ -31,10 +32,12 @@
 	pool    *pool
 	disc    *discovery
 	life    *lifecycle
+	moves   chan struct{} // the phase has changed
 	buffers buffers
 	inbound *bounded // callers' connections; nil until it listens
 
-	handover *handover // nil until it listens
+	open     atomic.Bool // callers are served here, and the process before knows
+	handover *handover   // nil until it listens
 	sharing  sync.Mutex
 	others   int // processes that share the limits
 }
@@ -51,7 +54,14 @@
 	n := &Node{cfg: cfg, log: logger}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal, newStats(cfg.Settings.Classes))
-	n.life = &lifecycle{moved: func(from, to phase) { logger.Info("phase", "from", from.String(), "to", to.String()) }}
+	n.moves = make(chan struct{}, 1)
+	n.life = &lifecycle{moved: func(from, to phase) {
+		logger.Info("phase", "from", from.String(), "to", to.String())
+		select {
+		case n.moves <- struct{}{}:
+		default:
+		}
+	}}
 	in := inboundPlaces(cfg.Sockets)
 	n.buffers = newBuffers(cfg.MemoryMB, in)
 	n.pool = newPool(cfg, cfg.Sockets-reserved-in, n.loop, n.buffers)
@@ -129,7 +139,8 @@
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share}
-	begun := make(chan struct{}) // callers are accepted here
+	begun := make(chan struct{})                             // callers are accepted here
+	known, alone := make(chan struct{}), make(chan struct{}) // to the process before; there is none any more
 	if before == nil {
 		close(begun)
 	} else {
@@ -137,10 +148,9 @@
 		if before.phase == drained {
 			n.life.take(drain)
 		}
-		alone := make(chan struct{})
 		defer before.conn.Close()
 		go func() { // ends with the connection
-			before.gone()
+			before.follow(sync.OnceFunc(func() { close(known) }))
 			close(alone)
 			n.share(-1)
 		}()
@@ -159,7 +169,15 @@
 		<-begun
 		if before != nil {
 			before.serves()
+			select {
+			case <-known:
+			case <-alone:
+			case <-time.After(handTime):
+				n.log.Warn("the process before does not answer")
+			case <-meeting.Done():
+			}
 		}
+		n.open.Store(true)
 		if n.handover.path != "" {
 			n.handover.serve(meeting)
 		}
@@ -167,7 +185,7 @@
 	own(func() { n.tend(meeting) })
 	var operators *http.Server
 	if doorAt != nil {
-		operators = newDoor(&door{life: n.life, usable: n.loop.usable.Load, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
+		operators = newDoor(&door{life: n.life, usable: func() bool { return n.open.Load() && n.loop.usable.Load() }, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
 		own(func() {
 			if err := operators.Serve(bound(doorAt, doorPlaces, newStats(nil))); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
@@ -235,7 +253,10 @@
 func (n *Node) share(more int) {
 	n.sharing.Lock()
 	defer n.sharing.Unlock()
+	was := 1 + n.others
 	n.others += more
+	n.buffers.requests.share(was, 1+n.others)
+	n.buffers.answers.share(was, 1+n.others)
 	sockets := n.cfg.Sockets / (1 + n.others)
 	in := max(leastPlaces, inboundPlaces(sockets))
 	n.inbound.resize(in)
@@ -251,7 +272,13 @@
 	look := time.NewTicker(tendEvery)
 	defer look.Stop()
 	for {
+		if n.life.away() == 0 {
+			look.Stop()
+		} else {
+			look.Reset(tendEvery)
+		}
 		select {
+		case <-n.moves:
 		case <-look.C:
 			if n.life.away() >= frontNotice+lastCalls {
 				n.inbound.closeWaiting(lastCalls)
