Let half requests make room too, and give no server's time to a head alone

Design: a connection keeps its place once its request is whole, or on its way to a server. When places run out, those without a whole head go first, then those whose body is still coming, the longest in either. Rejected: one order by age for both, by which a crowd of idle connections would push out proper bodies.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,13 +108,12 @@
 		u.n += int64(n)
 		u.touched.Store(true)
 	}
-	timeout := interface{ Timeout() bool }(nil)
 	switch {
 	case u.stopped.Load():
 		err = errClosed
 	case err == io.EOF: // from here on a read only watches for the client's leaving
 		u.rc.SetReadDeadline(time.Time{})
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = errSlow
 	case u.n > maxStream:
 		err = errLong
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -322,7 +322,8 @@
 	b := newBackend(t, ok)
 	n := startWith(t, b)
 	b.ln.Close()
-	c := open(t, n, "Content-Length: 256000")
+	c := open(t, n, fmt.Sprintf("Content-Length: %d", maxBody+256000))
+	c.Write(make([]byte, maxBody)) // so that it is taken up
 	begin := time.Now()
 	if got := status(t, c); got != http.StatusServiceUnavailable {
 		t.Errorf("answered %d, want 503", got)
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -61,6 +61,7 @@
 		h.turnDown(w, status, err)
 		return
 	}
+	hold(r)
 	if c.rest != nil {
 		http.NewResponseController(w).EnableFullDuplex() // the answer may come before the body's end
 	}
@@ -149,8 +150,8 @@
 	return c, 0, nil
 }
 
-// body reads a short body whole, if there is room. Of any other it reads what there is room for and leaves the
-// rest to the server's pace.
+// body reads a short body whole and the beginning of a long one, as far as there is room. The rest is left to the
+// server's pace. A peer that sends a long body's head alone so gets no server's time.
 func (h *callers) body(w http.ResponseWriter, r *http.Request, c *call) (int, error) {
 	if r.ContentLength > maxStream {
 		return http.StatusRequestEntityTooLarge, fmt.Errorf("the body is over %d bytes", maxStream)
@@ -160,10 +161,7 @@
 		return 0, nil
 	}
 	u := &upload{rc: http.NewResponseController(w), body: r.Body, from: bodyDue(r)}
-	if c.length <= maxBody {
-		c.held = h.buffers.requests.take(int(min(uint64(c.length), maxBody)))
-	}
-	if c.held == nil {
+	if c.held = h.buffers.requests.take(int(min(uint64(c.length), maxBody))); c.held == nil {
 		c.rest = u
 		return 0, nil
 	}
@@ -316,7 +314,8 @@
 }
 
 // bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
-// longest without a request makes room: callers must not wait behind peers that send nothing, or half a head.
+// longest without a request makes room, else the one whose request has been coming in for longest: callers must not
+// wait behind peers that send nothing, half a head or half a body.
 type bounded struct {
 	net.Listener
 	stats *stats
@@ -326,11 +325,12 @@
 	most    int
 	taken   int
 	closed  bool
-	waiting *list.List // of *placed, without a request in work, the longest first
+	waiting *list.List // of *placed, without a whole head, the longest first
+	coming  *list.List // of *placed, without a whole request, the longest first
 }
 
 func bound(ln net.Listener, most int, st *stats) *bounded {
-	b := &bounded{Listener: ln, stats: st, most: most, waiting: list.New()}
+	b := &bounded{Listener: ln, stats: st, most: most, waiting: list.New(), coming: list.New()}
 	b.freed = sync.NewCond(&b.mu)
 	return b
 }
@@ -345,7 +345,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.taken >= b.most && !b.closed {
-		if e := b.waiting.Front(); e != nil {
+		e := b.waiting.Front()
+		if e == nil {
+			e = b.coming.Front()
+		}
+		if e != nil {
 			b.stats.count(func(c *counts) { c.evicted++ })
 			e.Value.(*placed).closeLocked()
 		} else {
@@ -353,7 +357,7 @@
 		}
 	}
 	b.taken++
-	b.wait(p)
+	p.put(b.waiting)
 	return p, nil
 }
 
@@ -383,18 +387,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !p.closed && p.place == nil {
+	if p.unplace(); !p.closed {
 		p.kept = true
-		b.wait(p)
+		p.put(b.waiting)
 		b.freed.Signal()
 	}
 }
 
-// wait puts a connection last among those without a request in work.
-func (b *bounded) wait(p *placed) {
-	p.place, p.since = b.waiting.PushBack(p), time.Now()
-}
-
 // placedKey finds the connection in the context of its requests.
 type placedKey struct{}
 
@@ -404,15 +403,25 @@
 	return p
 }
 
-// engage keeps the connection of a request from making room until the request is answered.
+// engage tells that a request's head is there, hold that all of it is, or that it is on its way to a server: from
+// then until it is answered its connection does not make room.
 func engage(r *http.Request) {
-	p := connOf(r)
-	if p == nil {
-		return
+	if p := connOf(r); p != nil {
+		p.of.mu.Lock()
+		defer p.of.mu.Unlock()
+		if p.unplace(); !p.closed {
+			p.put(p.of.coming)
+			p.of.freed.Signal()
+		}
+	}
+}
+
+func hold(r *http.Request) {
+	if p := connOf(r); p != nil {
+		p.of.mu.Lock()
+		defer p.of.mu.Unlock()
+		p.unplace()
 	}
-	p.of.mu.Lock()
-	defer p.of.mu.Unlock()
-	p.unplace()
 }
 
 // bodyDue is when the first bytes of a request's body have to be there.
@@ -454,7 +463,8 @@
 	seen head // of the request that is coming in
 
 	// guarded by of.mu
-	place  *list.Element // in of.waiting; nil: a request is in work
+	in     *list.List
+	place  *list.Element // there; nil: a request is in work
 	kept   bool          // it had a request before
 	since  time.Time     // when it was put there
 	closed bool
@@ -472,7 +482,7 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	if c.place != nil && c.seen.half() {
+	if c.in == c.of.waiting && c.place != nil && c.seen.half() {
 		c.of.stats.count(func(c *counts) { c.halves++ })
 	}
 	c.unplace()
@@ -481,9 +491,14 @@
 	return c.Conn.Close()
 }
 
+// put places a connection last in a list.
+func (c *placed) put(in *list.List) {
+	c.in, c.place, c.since = in, in.PushBack(c), time.Now()
+}
+
 func (c *placed) unplace() {
 	if c.place != nil {
-		c.of.waiting.Remove(c.place)
+		c.in.Remove(c.place)
 		c.place = nil
 	}
 }
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -292,7 +292,7 @@
 // inWork has a connection hold its place for a request.
 func inWork(c net.Conn) {
 	r := &http.Request{}
-	engage(r.WithContext(context.WithValue(context.Background(), placedKey{}, c)))
+	hold(r.WithContext(context.WithValue(context.Background(), placedKey{}, c)))
 }
 
 func TestInboundConnectionsAreBounded(t *testing.T) {
@@ -339,6 +339,29 @@
 	(<-accepted).Close()
 }
 
+// When all places are taken by requests that come in piece by piece, the oldest of them makes room, but after all
+// that have no whole head.
+func TestHalfRequestsMakeRoomLast(t *testing.T) {
+	b, accepted, dial := accepting(t)
+	b.resize(2)
+	dial()
+	half := <-accepted
+	engage((&http.Request{}).WithContext(context.WithValue(context.Background(), placedKey{}, half)))
+	dial()
+	silent := <-accepted
+	dial()
+	caller := <-accepted
+	if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the silent connection reads %v, want it closed", err)
+	}
+	inWork(caller)
+	dial()
+	(<-accepted).Close()
+	if _, err := half.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the half request reads %v, want it closed", err)
+	}
+}
+
 // Told to stop, a node takes what still comes while the front notices, finishes what it holds and
 // ends without an error.
 func TestDrainLosesNothing(t *testing.T) {
