--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		IdleTimeout:       idleTime,
 		ConnState:         n.inbound.track,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placedKey{}, c) },
-		MaxHeaderBytes:    16 << 10,
+		MaxHeaderBytes:    maxHead,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share}
@@ -185,7 +185,8 @@
 	own(func() { n.tend(meeting) })
 	var operators *http.Server
 	if doorAt != nil {
-		operators = newDoor(&door{life: n.life, usable: func() bool { return n.open.Load() && n.loop.usable.Load() }, asks: n.loop.asks, stopped: n.loop.stop}, n.log)
+		operators = newDoor(&door{life: n.life, asks: n.loop.asks, stopped: n.loop.stop,
+			usable: func() bool { return n.open.Load() && n.loop.usable.Load() }}, n.log)
 		own(func() {
 			if err := operators.Serve(bound(doorAt, doorPlaces, newStats(nil))); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/policy_test.go
+++ b/policy_test.go
@@ -882,3 +882,55 @@
 		t.Errorf("drawn %v: multiples of two and more, or none, want about half", drawn)
 	}
 }
+
+// A request that comes in piece by piece has its time from its last byte on, and its server is neither silent nor
+// slow for what its caller took.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+	got := sends(b.Handle(0, Request{ID: "long", Class: "get", Deadline: 2 * time.Second, Coming: true}))
+	if len(got) != 1 {
+		t.Fatalf("sent %v", got)
+	}
+	for i := range 20 { // others are answered meanwhile
+		id, now := fmt.Sprint(i), time.Duration(i)*50*msec
+		for _, s := range sends(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Second})) {
+			settle(b, now+10*msec, id, s, Success)
+		}
+	}
+	s := b.servers[got[0].Server]
+	if b.silent(s) {
+		t.Error("its server counts as silent while its body comes")
+	}
+	mean := b.classes["get"].mean
+	b.Handle(10*time.Second, Sent{ID: "long", Deadline: 12 * time.Second})
+	r := b.requests["long"]
+	if r.deadline != 12*time.Second || r.arrived != 10*time.Second || r.attempts[0].sent != 10*time.Second {
+		t.Errorf("arrived %v, deadline %v, sent %v", r.arrived, r.deadline, r.attempts[0].sent)
+	}
+	b.Handle(10*time.Second+10*msec, Started{ID: "long"})
+	if b.silent(s) {
+		t.Error("its server counts as silent while its answer passes through")
+	}
+	b.Handle(time.Minute, Outcome{ID: "long", Server: s.ID, Ending: Success, Ended: true})
+	if now := b.classes["get"].mean; now > mean {
+		t.Errorf("the mean latency rose from %v to %v ns", mean, now)
+	}
+}
+
+// A request whose body is gone is never sent again. It is refused at once where no attempt ran.
+func TestSpentRequestIsNotSentAgain(t *testing.T) {
+	for ending, want := range map[Ending]Action{
+		Unreachable: Refuse{ID: "a", RetryAfter: 2 * msec}, Void: Refuse{ID: "a", RetryAfter: 2 * msec}, Broken: Fail{ID: "a"}} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+		got := sends(b.Handle(0, Request{ID: "a", Class: "post", Deadline: time.Second, Coming: true}))
+		if len(got) != 1 {
+			t.Fatalf("sent %v", got)
+		}
+		acts := b.Handle(msec, Outcome{ID: "a", Server: got[0].Server, Ending: ending, Spent: true})
+		if len(acts) != 1 || acts[0] != want {
+			t.Errorf("ending %d: %v, want %v", ending, acts, want)
+		}
+	}
+}
