--- /dev/null
+++ b/internal/lab/caller.go
@@ -0,0 +1,305 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ending is how a call ended for its caller.
+type ending int
+
+const (
+	servedEnd  ending = iota
+	refusedEnd        // 429 or 503
+	failedEnd         // any other answer, or none
+	leftEnd           // the caller went away first
+	unreached         // no connection came up
+)
+
+func (e ending) String() string {
+	return [...]string{"served", "refused", "failed", "left", "unreached"}[e]
+}
+
+const (
+	mostBody    = 64 << 10
+	mostIdle    = 256             // connections kept by one caller
+	idleMost    = 5 * time.Second // a caller closes what was idle for so long
+	callerDials = time.Second
+)
+
+// call is one request to a node.
+type call struct {
+	id       string
+	class    *Class
+	tenant   string
+	deadline time.Duration // on the lab's clock
+	leaves   time.Duration // the caller goes away then; 0: it stays
+	again    bool
+}
+
+// answer is what came of it.
+type answer struct {
+	end        ending
+	node       string
+	retryAfter time.Duration // 0: none was given
+	at         time.Duration // of its last byte
+}
+
+// caller keeps connections to nodes and makes calls on them, one at a time on each, as the protocol's clients do. It
+// opens more when all are busy.
+type caller struct {
+	lab       *Lab
+	name      string
+	dial      func(context.Context) (net.Conn, string, error) // to some node, with its name
+	checkBody bool                                            // answers must be what a server made
+
+	mu     sync.Mutex
+	idle   []*callerConn
+	closed bool
+	open   sync.WaitGroup
+}
+
+type callerConn struct {
+	net.Conn
+	node string
+	used bool
+	free time.Duration // idle since
+
+	mu      sync.Mutex
+	owed    string // the request whose answer is owed; "": none
+	last    string // the last one answered
+	prev    string // the one before that
+	answers chan reply
+}
+
+type reply struct {
+	status     int
+	retryAfter string
+	body       string
+	closing    bool
+	some       bool // some of an answer came
+	err        error
+	at         time.Duration
+}
+
+// read takes answers off a connection until it ends.
+func (c *caller) read(cc *callerConn) {
+	defer c.open.Done()
+	br := bufio.NewReaderSize(cc.Conn, 2<<10)
+	for {
+		var r reply
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			r.err = err
+			r.some = errors.Is(err, io.ErrUnexpectedEOF) && br.Buffered() > 0
+		} else {
+			body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
+			resp.Body.Close()
+			r = reply{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After"), body: string(body), closing: resp.Close,
+				some: true, err: err}
+		}
+		r.at = c.lab.now()
+		cc.mu.Lock()
+		owed := cc.owed
+		last := cc.last
+		if owed != "" {
+			cc.prev, cc.last, cc.owed = cc.last, owed, ""
+		}
+		cc.mu.Unlock()
+		if owed != "" {
+			cc.answers <- r // one is owed, one fits
+		} else if r.err == nil {
+			c.lab.referee.stray(last, cc.node)
+		}
+		if r.err != nil || r.closing {
+			cc.Conn.Close()
+			return
+		}
+	}
+}
+
+// get returns an idle connection or a new one.
+func (c *caller) get(ctx context.Context, fresh bool) (*callerConn, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	now := c.lab.now()
+	for n := len(c.idle); n > 0 && !fresh; n = len(c.idle) {
+		cc := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		if now-cc.free > idleMost {
+			cc.Conn.Close()
+			continue
+		}
+		cc.used = true
+		c.mu.Unlock()
+		return cc, nil
+	}
+	c.open.Add(1)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callerDials)
+	defer cancel()
+	conn, node, err := c.dial(ctx)
+	if err != nil {
+		c.open.Done()
+		return nil, err
+	}
+	cc := &callerConn{Conn: conn, node: node, answers: make(chan reply, 1)}
+	go c.read(cc)
+	return cc, nil
+}
+
+func (c *caller) put(cc *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.free = c.lab.now()
+	if c.closed || len(c.idle) >= mostIdle {
+		cc.Conn.Close()
+		return
+	}
+	c.idle = append(c.idle, cc)
+}
+
+// close ends all idle connections and waits for the others; calls fail from now on.
+func (c *caller) close() {
+	c.mu.Lock()
+	c.closed = true
+	for _, cc := range c.idle {
+		cc.Conn.Close()
+	}
+	c.mu.Unlock()
+	c.open.Wait()
+}
+
+// do makes one call and returns its end, no later than its deadline and the slack.
+func (c *caller) do(ctx context.Context, q call) answer {
+	c.lab.referee.begin(q.id, q.class.Name, q.deadline)
+	until := q.deadline + slack
+	if q.leaves != 0 {
+		until = min(until, q.leaves)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.lab.began.Add(until))
+	defer cancel()
+	for fresh := false; ; fresh = true {
+		a, again := c.try(ctx, q, fresh)
+		if !again {
+			return a
+		}
+	}
+}
+
+// try writes the request to one connection; again says that the connection's end crossed it unread.
+func (c *caller) try(ctx context.Context, q call, fresh bool) (a answer, again bool) {
+	cc, err := c.get(ctx, fresh)
+	if err != nil {
+		a.end = unreached
+		if ctx.Err() != nil {
+			a.end = leftEnd
+		}
+		a.at = c.lab.now()
+		return a, false
+	}
+	a.node = cc.node
+	c.lab.referee.heading(q.id, cc.node)
+	cc.mu.Lock()
+	cc.owed = q.id
+	cc.mu.Unlock()
+	head := c.format(q)
+	if _, err := cc.Write(head); err == nil {
+		c.lab.referee.wrote(q.id, c.lab.now())
+		select {
+		case r := <-cc.answers:
+			return c.answered(cc, q, r)
+		case <-ctx.Done():
+		}
+		cc.Close()
+		a.at, a.end = c.lab.now(), leftEnd
+		if a.at < q.deadline+slack {
+			c.lab.referee.left(q.id)
+		} else {
+			a.end = failedEnd
+			c.lab.referee.unanswered(q.id, c.name, "no answer in time")
+		}
+		return a, false
+	}
+	cc.Close()
+	if cc.used && ctx.Err() == nil {
+		return a, true
+	}
+	a.at, a.end = c.lab.now(), failedEnd
+	return a, false
+}
+
+// answered sorts out what came on a connection after a whole request was written to it.
+func (c *caller) answered(cc *callerConn, q call, r reply) (answer, bool) {
+	a := answer{node: cc.node, at: r.at, end: failedEnd}
+	if r.err != nil {
+		cc.Close()
+		switch {
+		case !r.some && cc.used && c.lab.referee.unread(q.id):
+			return a, true // the close crossed the request
+		case !r.some && !cc.used && c.lab.referee.unread(q.id):
+			// a new connection closed with no answer: failed, and not lost
+		default:
+			c.lab.referee.unanswered(q.id, c.name, fmt.Sprintf("the connection ended: %v", r.err))
+		}
+		return a, false
+	}
+	if before, _, _ := strings.Cut(r.body, " "); c.checkBody && before != "" && before == cc.prev {
+		c.lab.referee.stray(before, cc.node) // the connection is one answer behind from here on
+		c.lab.referee.left(q.id)
+		cc.Close()
+		return a, false
+	}
+	c.lab.referee.answered(q.id, r.status, r.body, c.checkBody)
+	switch r.status {
+	case http.StatusOK:
+		a.end = servedEnd
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		a.end = refusedEnd
+		if s, err := strconv.ParseFloat(r.retryAfter, 64); err == nil && s > 0 {
+			a.retryAfter = min(time.Duration(s*float64(time.Second)), c.lab.world.Limits.MaxRetryAfter)
+		}
+	}
+	if !r.closing {
+		c.put(cc)
+	}
+	return a, false
+}
+
+// format writes a request as the protocol has it.
+func (c *caller) format(q call) []byte {
+	method := "GET"
+	if q.class.Effect != "read_like" {
+		method = "POST"
+	}
+	b := make([]byte, 0, 256)
+	b = fmt.Appendf(b, "%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Budget: %dm\r\n",
+		method, q.id, q.class.Name, max(1, (q.deadline-c.lab.now()).Milliseconds()))
+	if q.tenant != "" {
+		b = fmt.Appendf(b, "X-Caller: %s\r\n", q.tenant)
+	}
+	if q.again {
+		b = append(b, "X-Again: 1\r\n"...)
+	}
+	if q.class.Effect == "idempotency_key" {
+		b = fmt.Appendf(b, "Idempotency-Key: k-%s\r\n", q.id)
+	}
+	if method == "POST" {
+		b = append(b, "Content-Length: 2\r\n\r\n{}"...)
+	} else {
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/lab/double_test.go
@@ -0,0 +1,150 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// double stands in for the node program, with one planted fault: "twice" answers twice, "resend" sends bookings again,
+// "lose" ends a connection without an answer, "drained" goes on sending to a server that drains, "mute" never listens.
+// "lab" is another program: a lab of its own that says its children's ids and waits to be killed.
+func double(as string) {
+	if as == "lab" {
+		os.Setenv("LAB_TEST_AS", "well")
+		w := small(2, 1)
+		w.Binary = os.Args[0]
+		l, err := Open(context.Background(), w)
+		if err != nil {
+			fmt.Println("failed", err)
+			return
+		}
+		for _, n := range l.Nodes() {
+			fmt.Println(n.process.cmd.Process.Pid)
+		}
+		select {}
+	}
+	var cfg struct {
+		Listen, Discovery string
+		Known             rosterNews
+	}
+	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err == nil {
+		err = json.Unmarshal(text, &cfg)
+	}
+	if err != nil {
+		panic(err)
+	}
+	if as == "mute" {
+		fmt.Println("mute as planted")
+		select {}
+	}
+	go func() {
+		if resp, err := http.Get("http://" + cfg.Discovery + "/v1/endpoints?watch=1&from=0"); err == nil {
+			io.Copy(io.Discard, resp.Body)
+		}
+	}()
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		panic(err)
+	}
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go doubleServe(c, as, cfg.Known.Hosts)
+	}
+}
+
+func doubleServe(c net.Conn, as string, hosts []listed) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/ready" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		answer := forward(r, hosts[0])
+		if as == "resend" && r.Method == "POST" {
+			forward(r, hosts[len(hosts)-1])
+		}
+		if as == "lose" {
+			return
+		}
+		out := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		if as == "twice" {
+			out += out
+		}
+		if _, err := io.WriteString(c, out); err != nil {
+			return
+		}
+	}
+}
+
+func forward(r *http.Request, h listed) string {
+	out, err := http.NewRequest(r.Method, "http://"+h.Dial+"/api", nil)
+	if err != nil {
+		return ""
+	}
+	out.Header = r.Header.Clone()
+	resp, err := http.DefaultClient.Do(out)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
+// The referee finds each planted fault by its name, and nothing where none is planted.
+func TestRefereeCatchesPlantedFaults(t *testing.T) {
+	for as, want := range map[string]Rule{"well": "", "twice": Twice, "resend": UnsafeRun, "lose": Lost, "drained": Drained} {
+		t.Run(as, func(t *testing.T) {
+			t.Parallel()
+			w := small(1, 2)
+			w.Binary, w.Env, w.Zones = os.Args[0], []string{"LAB_TEST_AS=" + as}, []string{"a"}
+			w.Discovery.Late = time.Millisecond
+			length := time.Second
+			if as == "drained" {
+				length = drainWithin + 2*time.Second
+			}
+			l := Start(t, w)
+			load, day := draw(t, &l.world, Load{Rate: 40}, length)
+			if as == "drained" {
+				for _, s := range l.servers { // whichever the double knows first
+					l.Drain(s, 0)
+				}
+			}
+			var got tally
+			l.Drive(context.Background(), &load, day, got.add)
+			_, counts := l.Findings()
+			if want == "" {
+				clean(t, l)
+				return
+			}
+			if counts[want] == 0 || len(counts) > 1 {
+				t.Errorf("found %v, want %q alone; ends %v", counts, want, got.ends)
+			}
+		})
+	}
+}
+
+// wellDouble is a world of doubles without a fault.
+func wellDouble(nodes int) World {
+	w := small(nodes, 2)
+	w.Binary, w.Env = os.Args[0], []string{"LAB_TEST_AS=well"}
+	return w
+}
--- /dev/null
+++ b/internal/lab/fault.go
@@ -0,0 +1,396 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is one entry of a schedule. At is when it begins, plus an even draw from 0 to Jitter; For is how long it lasts.
+//
+// Kinds that name Target, a pattern of nodes ("n1", "n*", "n@front-?"), servers ("rooms-*") or zones:
+//
+//	kill      SIGKILL a node; started again after For (0: never)
+//	term      SIGTERM a node; started again once it has ended and For is over
+//	stop      SIGSTOP a node for For
+//	crash     end a server and its node; started again, cold, after For (0: never)
+//	slow      a server's work takes Factor times longer
+//	errors    a server answers a Share of its requests with 500
+//	hang      a server takes requests and answers none
+//	silent    a server says nothing at all, as a vanished machine
+//	drain     discovery lists a server as draining, and For later it is gone
+//	zone      all servers of a zone are silent and, where Nodes is set, its nodes stopped; discovery drops them Late
+//	          after; at the end they come back cold
+//
+// Kinds that name From and To, patterns of any two parts (nodes, servers, "clients-ZONE", "discovery"):
+//
+//	cut       nothing comes through in that direction
+//	split     nothing comes through in either
+//	link      Delay, Jittered, Loss, Dup, Reorder and Rate, in that direction
+//	reset     every connection from From to To is reset, once
+//
+// Discovery: disc_down, disc_fail, disc_slow (Delay).
+type Fault struct {
+	Kind   string        `toml:"kind"`
+	At     time.Duration `toml:"at"`
+	For    time.Duration `toml:"for"`
+	Jitter time.Duration `toml:"jitter"`
+	Target string        `toml:"target"`
+	Pick   int           `toml:"pick"`  // so many of those that match, drawn; 0: all
+	Every  time.Duration `toml:"every"` // between one target and the next
+	From   string        `toml:"from"`
+	To     string        `toml:"to"`
+	Factor float64       `toml:"factor"`
+	Share  float64       `toml:"share"`
+	Nodes  bool          `toml:"nodes"`
+	Late   time.Duration `toml:"late"`
+
+	Delay    time.Duration `toml:"delay"`
+	Jittered time.Duration `toml:"jittered"`
+	Loss     float64       `toml:"loss"`
+	Dup      float64       `toml:"dup"`
+	Reorder  float64       `toml:"reorder"`
+	Rate     int           `toml:"rate"`
+}
+
+var faultKinds = map[string]struct{ nodes, servers, zones, link, lasts bool }{
+	"kill": {nodes: true}, "term": {nodes: true}, "stop": {nodes: true, lasts: true},
+	"crash": {servers: true}, "slow": {servers: true, lasts: true}, "errors": {servers: true, lasts: true},
+	"hang": {servers: true, lasts: true}, "silent": {servers: true, lasts: true}, "drain": {servers: true, lasts: true},
+	"zone": {zones: true, lasts: true},
+	"cut":  {link: true, lasts: true}, "split": {link: true, lasts: true}, "link": {link: true, lasts: true}, "reset": {link: true},
+	"disc_down": {lasts: true}, "disc_fail": {lasts: true}, "disc_slow": {lasts: true},
+}
+
+// names lists the world's parts of a sort, sorted as they are numbered.
+func (w *World) names(nodes, servers, zones bool) (all []string) {
+	if nodes {
+		for i := range w.Tiers[0].Nodes {
+			all = append(all, fmt.Sprintf("n%d", i+1))
+		}
+	}
+	for t, tier := range w.Tiers {
+		for i := range tier.Servers {
+			name := fmt.Sprintf("%s-%d", tier.Name, i+1)
+			if servers {
+				all = append(all, name)
+			}
+			if nodes && t < len(w.Tiers)-1 {
+				all = append(all, NodeOf(name))
+			}
+		}
+	}
+	if zones {
+		all = append(all, w.Zones...)
+	}
+	return all
+}
+
+// parts lists all that a link can end at.
+func (w *World) parts() []string {
+	all := append(w.names(true, true, false), "discovery")
+	for _, z := range w.Zones {
+		all = append(all, clientsOf(z))
+	}
+	return all
+}
+
+func match(pattern string, names []string) (hit []string, err error) {
+	for _, n := range names {
+		ok, err := path.Match(pattern, n)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			hit = append(hit, n)
+		}
+	}
+	return hit, nil
+}
+
+// Check says what is wrong with a fault, by its key under prefix.
+func (f *Fault) Check(w *World, prefix string) error {
+	kind, ok := faultKinds[f.Kind]
+	if !ok {
+		var all []string
+		for k := range faultKinds {
+			all = append(all, k)
+		}
+		sort.Strings(all)
+		return &KeyError{prefix + "kind", fmt.Sprintf("%q is none of %s", f.Kind, strings.Join(all, ", "))}
+	}
+	if f.At < 0 || f.For < 0 || f.Jitter < 0 || f.Every < 0 {
+		return &KeyError{prefix + "at", "a time is negative"}
+	}
+	if kind.lasts && f.For == 0 {
+		return &KeyError{prefix + "for", f.Kind + " needs a length"}
+	}
+	patterns := map[string]string{}
+	names := w.parts()
+	if kind.link {
+		patterns = map[string]string{"from": f.From, "to": f.To}
+	} else if kind.nodes || kind.servers || kind.zones {
+		patterns, names = map[string]string{"target": f.Target}, w.names(kind.nodes, kind.servers, kind.zones)
+	}
+	for key, p := range patterns {
+		hit, err := match(p, names)
+		if err != nil {
+			return &KeyError{prefix + key, fmt.Sprintf("%q: %v", p, err)}
+		}
+		if len(hit) == 0 {
+			return &KeyError{prefix + key, fmt.Sprintf("%q matches nothing; there are %s", p, strings.Join(names, " "))}
+		}
+	}
+	for key, v := range map[string]float64{"share": f.Share, "loss": f.Loss, "dup": f.Dup, "reorder": f.Reorder} {
+		if !(v >= 0 && v <= 1) {
+			return &KeyError{prefix + key, "must be from 0 to 1"}
+		}
+	}
+	if f.Kind == "slow" && !(f.Factor > 1) {
+		return &KeyError{prefix + "factor", "slow needs one above 1"}
+	}
+	if f.Kind == "errors" && f.Share == 0 {
+		return &KeyError{prefix + "share", "errors needs one above 0"}
+	}
+	return nil
+}
+
+// Step is one beginning or end of a fault, at a drawn time.
+type Step struct {
+	At     time.Duration // since the load began
+	Fault  Fault
+	Target string // one part; empty for links and discovery
+	Ends   bool
+}
+
+func (s Step) String() string {
+	what := s.Fault.Kind
+	switch {
+	case s.Target != "":
+		what += " " + s.Target
+	case s.Fault.From != "":
+		what += " " + s.Fault.From + "->" + s.Fault.To
+	}
+	if s.Ends {
+		what += " ends"
+	}
+	return what
+}
+
+// Schedule draws the steps of a world's faults. The same world, faults and seed give the same steps.
+func Schedule(w *World, faults []Fault, seed uint64) ([]Step, error) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var steps []Step
+	for _, f := range faults {
+		kind := faultKinds[f.Kind]
+		targets := []string{""}
+		if kind.nodes || kind.servers || kind.zones {
+			var err error
+			if targets, err = match(f.Target, w.names(kind.nodes, kind.servers, kind.zones)); err != nil {
+				return nil, err
+			}
+			if f.Pick > 0 && f.Pick < len(targets) {
+				r.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+				targets = targets[:f.Pick]
+			}
+		}
+		for i, t := range targets {
+			at := f.At + time.Duration(i)*f.Every
+			if f.Jitter > 0 {
+				at += time.Duration(r.Int64N(int64(f.Jitter)))
+			}
+			steps = append(steps, Step{At: at, Fault: f, Target: t})
+			if f.For > 0 && f.Kind != "drain" && f.Kind != "term" {
+				steps = append(steps, Step{At: at + f.For, Fault: f, Target: t, Ends: true})
+			}
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	return steps, nil
+}
+
+// FaultLinks returns the link patterns that the faults need a proxy for.
+func FaultLinks(faults []Fault) (links []string) {
+	for _, f := range faults {
+		if f.From != "" {
+			links = append(links, f.From+"->"+f.To)
+		}
+	}
+	return links
+}
+
+// Play carries out steps at their times, counted from now. told hears of each, and of what went wrong. It returns when
+// the last is done, or once ctx ends.
+func (l *Lab) Play(ctx context.Context, steps []Step, told func(at time.Duration, what string)) {
+	began := l.now()
+	var late sync.WaitGroup
+	defer late.Wait()
+	for _, s := range steps {
+		if !sleepUntil(l.began.Add(began+s.At), ctx.Done()) {
+			return
+		}
+		told(l.now()-began, s.String())
+		late.Add(1)
+		go func() { // some take a while: a node that is to be ready again
+			defer late.Done()
+			if err := l.Apply(ctx, s); err != nil && ctx.Err() == nil {
+				told(l.now()-began, fmt.Sprintf("%s: %v", s, err))
+			}
+		}()
+	}
+}
+
+// Apply carries out one step now.
+func (l *Lab) Apply(ctx context.Context, s Step) error {
+	f := s.Fault
+	node, server := l.nodes[s.Target], l.servers[s.Target]
+	switch f.Kind {
+	case "kill":
+		if !s.Ends {
+			node.Kill()
+			return nil
+		}
+		return node.restart(ctx)
+	case "term":
+		if node.Terminate() {
+			l.referee.find(Crash, "", node.name, "did not end in time after SIGTERM")
+		}
+		if !sleep(ctx, f.For) {
+			return nil
+		}
+		return node.restart(ctx)
+	case "stop":
+		if !s.Ends {
+			return node.Stop()
+		}
+		return node.Continue()
+	case "crash":
+		if !s.Ends {
+			server.crash()
+			return nil
+		}
+		return l.revive(ctx, server)
+	case "slow", "errors", "hang":
+		t := Trouble{}
+		if !s.Ends {
+			t = Trouble{Slow: f.Factor, Errors: f.Share, Hang: f.Kind == "hang"}
+		}
+		server.Set(t)
+	case "silent":
+		server.silence(!s.Ends)
+	case "drain":
+		l.Drain(server, f.For)
+	case "zone":
+		return l.zone(ctx, s)
+	case "cut", "split", "link":
+		return l.linkFault(s)
+	case "reset":
+		if l.ResetLink(f.From, f.To) == 0 {
+			return errNoLink
+		}
+	case "disc_down", "disc_fail", "disc_slow":
+		o := Outage{}
+		if !s.Ends {
+			o = Outage{Down: f.Kind == "disc_down", Fail: f.Kind == "disc_fail", Slow: f.Delay}
+		}
+		l.Discovery(o)
+	}
+	return nil
+}
+
+var errNoLink = fmt.Errorf("no link of the world matches")
+
+func (l *Lab) linkFault(s Step) error {
+	f := s.Fault
+	c := Cond{Delay: f.Delay, Jitter: f.Jittered, Loss: f.Loss, Dup: f.Dup, Reorder: f.Reorder, Rate: f.Rate, Cut: f.Kind != "link"}
+	if s.Ends {
+		c = Cond{}
+	}
+	n := l.SetLink(f.From, f.To, c)
+	if f.Kind == "split" {
+		n += l.SetLink(f.To, f.From, c)
+	}
+	if n == 0 {
+		return errNoLink
+	}
+	return nil
+}
+
+// restart starts a node that has ended and waits until it is ready.
+func (n *Node) restart(ctx context.Context) error {
+	if err := n.Start(); err != nil {
+		return err
+	}
+	return n.Up(ctx)
+}
+
+// revive starts a crashed server again, and lists it once its node is ready.
+func (l *Lab) revive(ctx context.Context, s *Server) error {
+	if err := s.restart(); err != nil {
+		return err
+	}
+	if s.own != nil {
+		if err := s.own.Up(ctx); err != nil {
+			return err
+		}
+	}
+	l.disc.publish(s.tier, s.entry(), -1)
+	return nil
+}
+
+// zone takes a whole zone away, or brings it back cold.
+func (l *Lab) zone(ctx context.Context, s Step) error {
+	var inside []*Server
+	for _, server := range l.servers {
+		if server.zone == s.Target {
+			inside = append(inside, server)
+		}
+	}
+	for _, n := range l.front.nodes {
+		if n.zone != s.Target || !s.Fault.Nodes {
+			continue
+		}
+		if !s.Ends {
+			if err := n.Stop(); err != nil {
+				return err
+			}
+			continue
+		}
+		n.Kill()
+		if err := n.Start(); err != nil {
+			return err
+		}
+		l.own(func() { n.Up(ctx) }) // the front sees it anyway
+	}
+	for _, server := range inside {
+		if !s.Ends {
+			server.silence(true)
+			if server.own != nil {
+				server.own.Stop() // fails where it has ended
+			}
+			gone := server.entry()
+			gone.Health = "terminated"
+			l.disc.publish(server.tier, gone, s.Fault.Late+l.disc.late)
+		}
+	}
+	if !s.Ends {
+		return nil
+	}
+	var all sync.WaitGroup
+	for _, server := range inside {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			server.crash()
+			l.revive(ctx, server) // a node that does not come back is a finding of its own
+		}()
+	}
+	all.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/lab/front.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	frontPolls   = 100 * time.Millisecond
+	frontAsks    = time.Second            // for one answer
+	drainLateFor = 200 * time.Millisecond // new connections still come so long after the first no
+)
+
+// front spreads the clients' connections over the nodes of their zone, and over all nodes when their zone has none. It
+// takes a node in once /ready answered 200, out shortly after another answer, and out late when it stops answering.
+type front struct {
+	lab   *Lab
+	nodes []*Node
+	stop  context.CancelFunc
+	owned sync.WaitGroup
+
+	mu    sync.Mutex
+	in    map[*Node]bool
+	next  map[string]int // by zone
+	moved chan struct{}  // closed when a node comes in or goes out
+}
+
+func newFront(l *Lab, nodes []*Node) *front {
+	return &front{lab: l, nodes: nodes, in: map[*Node]bool{}, next: map[string]int{}, moved: make(chan struct{})}
+}
+
+func (f *front) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	for _, n := range f.nodes {
+		f.owned.Add(1)
+		go func() {
+			defer f.owned.Done()
+			f.watch(ctx, n)
+		}()
+	}
+}
+
+func (f *front) close() {
+	f.stop()
+	f.owned.Wait()
+}
+
+// watch polls one node.
+func (f *front) watch(ctx context.Context, n *Node) {
+	client := &http.Client{Timeout: frontAsks, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: (&net.Dialer{Timeout: frontAsks}).DialContext}}
+	tick := time.NewTicker(frontPolls)
+	defer tick.Stop()
+	var noSince, deadSince time.Time
+	for {
+		yes, heard := ready(ctx, client, f.lab.nodeAddr(clientsOf(n.zone), n))
+		now := time.Now()
+		if yes {
+			noSince, deadSince = time.Time{}, time.Time{}
+			f.turn(n, true)
+		} else if heard {
+			deadSince = time.Time{}
+			if noSince.IsZero() {
+				noSince = now
+			}
+			if now.Sub(noSince) >= drainLateFor {
+				f.turn(n, false)
+			}
+		} else {
+			if deadSince.IsZero() {
+				deadSince = now
+			}
+			if now.Sub(deadSince) >= f.lab.world.Notice {
+				f.turn(n, false)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ready asks a node whether clients may come; heard says that it answered at all.
+func ready(ctx context.Context, client *http.Client, addr string) (yes, heard bool) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/ready", nil)
+	if err != nil {
+		return false, false
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return false, false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK, true
+}
+
+func (f *front) turn(n *Node, in bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.in[n] != in {
+		f.in[n] = in
+		close(f.moved)
+		f.moved = make(chan struct{})
+	}
+}
+
+// isIn says whether the front deals connections to a node, and gives what closes at the next change.
+func (f *front) isIn(n *Node) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.in[n], f.moved
+}
+
+var errNoNode = errors.New("the front has no node")
+
+// pick takes the next node of a zone in turn.
+func (f *front) pick(zone string) (*Node, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, near := range []bool{true, false} {
+		var in []*Node
+		for _, n := range f.nodes {
+			if f.in[n] && (n.zone == zone || !near) {
+				in = append(in, n)
+			}
+		}
+		if len(in) > 0 {
+			f.next[zone]++
+			return in[f.next[zone]%len(in)], nil
+		}
+	}
+	return nil, errNoNode
+}
+
+// dial connects a zone's client to a node.
+func (f *front) dial(zone string) func(context.Context) (net.Conn, string, error) {
+	return func(ctx context.Context) (net.Conn, string, error) {
+		n, err := f.pick(zone)
+		if err != nil {
+			return nil, "", err
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", f.lab.nodeAddr(clientsOf(zone), n))
+		return c, n.name, err
+	}
+}
+
+// clientsOf names the clients of a zone as one end of a link.
+func clientsOf(zone string) string { return "clients-" + zone }
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,619 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const mostNodes = 240 // of one lab
+
+// Lab is a running world.
+type Lab struct {
+	world    World
+	dir      string
+	scratch  bool // dir is the lab's own
+	began    time.Time
+	spans    spans
+	referee  *Referee
+	spawner  *spawner
+	disc     *discovery
+	front    *front
+	clients  []*caller // by zone
+	nodes    map[string]*Node
+	servers  map[string]*Server
+	order    []*Node // as started
+	classes  map[string]*Class
+	discard  *log.Logger
+	lock     net.Listener // holds this lab's loopback addresses
+	net      int          // 127.net.0.0/16 is this lab's
+	done     chan struct{}
+	owned    sync.WaitGroup
+	closing  sync.Once
+	lateness lateness
+	attempts atomic.Int64 // that reached servers
+	crossed  atomic.Int64 // of them, from another zone
+
+	mu    sync.Mutex
+	ways  map[string]*way
+	links map[string]*tcpLink // by FROM->TO
+}
+
+// Node is one keelusher process, or the place of one.
+type Node struct {
+	name, zone string
+	tier       int
+	self       int
+	lab        *Lab
+	ip         string
+	discovery  string
+	process    *process
+	starts     int
+}
+
+// Name is the node's name, the same after a restart.
+func (n *Node) Name() string { return n.name }
+
+// Listen is the address at which callers connect.
+func (n *Node) Listen() string { return net.JoinHostPort(n.ip, "5000") }
+
+// Control is the address of the operators' door.
+func (n *Node) Control() string { return net.JoinHostPort(n.ip, "5001") }
+
+// Log is the file that holds what the process said, through all its starts.
+func (n *Node) Log() string { return n.process.logPath() }
+
+// Open builds a world and starts its processes. It returns once the front has taken in every node, and fails, with
+// nothing left running, when one does not come up.
+func Open(ctx context.Context, w World) (l *Lab, err error) {
+	if err := w.Fill(); err != nil {
+		return nil, err
+	}
+	if w.Binary == "" {
+		return nil, errors.New("no node program is named")
+	}
+	l = &Lab{world: w, dir: w.Dir, began: time.Now(), nodes: map[string]*Node{}, servers: map[string]*Server{},
+		classes: map[string]*Class{}, discard: log.New(io.Discard, "", 0), done: make(chan struct{}), ways: map[string]*way{},
+		links: map[string]*tcpLink{}}
+	l.spawner = newSpawner()
+	defer func() {
+		if err != nil {
+			l.Close()
+		}
+	}()
+	if l.lock, l.net, err = claimNet(); err != nil {
+		return l, err
+	}
+	if l.dir == "" {
+		l.scratch = true
+		if l.dir, err = os.MkdirTemp("", "quaywick-lab-"); err != nil {
+			return l, err
+		}
+	} else if err = os.MkdirAll(l.dir, 0o700); err != nil {
+		return l, err
+	}
+	for i := range w.Classes {
+		l.classes[w.Classes[i].Name] = &l.world.Classes[i]
+	}
+	l.referee = newReferee(&l.world, l.now, &l.spans)
+	l.lateness.run(l)
+	l.disc = newDiscovery(l)
+	if err = l.populate(); err != nil {
+		return l, err
+	}
+	return l, l.startAll(ctx)
+}
+
+// claimNet takes a part of the loopback range for itself alone, so that labs may run side by side.
+func claimNet() (net.Listener, int, error) {
+	first := rand.N(240)
+	for i := range 240 {
+		n := 10 + (first+i)%240
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:6999", n)); err == nil {
+			return ln, n, nil
+		}
+	}
+	return nil, 0, errors.New("no part of the loopback range is free")
+}
+
+func (l *Lab) serverIP() string    { return fmt.Sprintf("127.%d.0.2", l.net) }
+func (l *Lab) linkIP() string      { return fmt.Sprintf("127.%d.0.3", l.net) }
+func (l *Lab) discoveryIP() string { return fmt.Sprintf("127.%d.0.4", l.net) }
+
+// populate makes the servers, the nodes' places, the front and the clients.
+func (l *Lab) populate() error {
+	w := &l.world
+	for t, tier := range w.Tiers {
+		n := 0
+		for z, count := range tier.PerZone {
+			for range count {
+				n++
+				s, err := newServer(l, fmt.Sprintf("%s-%d", tier.Name, n), w.Zones[z], t)
+				if err != nil {
+					return err
+				}
+				l.servers[s.name] = s
+				l.disc.publish(t, s.entry(), 0)
+			}
+		}
+	}
+	var fronts []*Node
+	for i := range w.Tiers[0].Nodes {
+		n, err := l.newNode("n"+strconv.Itoa(i+1), w.Zones[i%len(w.Zones)], 0, i)
+		if err != nil {
+			return err
+		}
+		fronts = append(fronts, n)
+	}
+	for t, tier := range w.Tiers[:len(w.Tiers)-1] {
+		for i := range tier.Servers {
+			s := l.servers[fmt.Sprintf("%s-%d", tier.Name, i+1)]
+			n, err := l.newNode(NodeOf(s.name), s.zone, t+1, i)
+			if err != nil {
+				return err
+			}
+			s.own = n
+			s.next = &caller{lab: l, name: s.name, checkBody: true, dial: func(ctx context.Context) (net.Conn, string, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.nodeAddr(s.name, n))
+				return c, n.name, err
+			}}
+		}
+	}
+	l.front = newFront(l, fronts)
+	for _, z := range w.Zones {
+		l.clients = append(l.clients, &caller{lab: l, name: clientsOf(z), checkBody: !w.TrustNodes, dial: l.front.dial(z)})
+	}
+	return nil
+}
+
+// NodeOf names the node that belongs to a server and calls the next tier for it.
+func NodeOf(server string) string { return "n@" + server }
+
+func (l *Lab) newNode(name, zone string, tier, self int) (*Node, error) {
+	i := len(l.order)
+	if i >= mostNodes {
+		return nil, fmt.Errorf("more than %d nodes", mostNodes)
+	}
+	n := &Node{name: name, zone: zone, tier: tier, self: self, lab: l, ip: fmt.Sprintf("127.%d.1.%d", l.net, 10+i)}
+	var err error
+	if n.discovery, err = l.disc.serve(n); err != nil {
+		return nil, err
+	}
+	n.discovery = l.linkAddr(name, "discovery", n.discovery)
+	dir := filepath.Join(l.dir, strings.ReplaceAll(name, "@", "-"))
+	if err := os.MkdirAll(filepath.Join(dir, "tmp"), 0o700); err != nil {
+		return nil, err
+	}
+	n.process = &process{name: name, dir: dir, spawner: l.spawner, ended: n.ended, command: func() *exec.Cmd {
+		c := exec.Command(l.world.Binary, l.world.Args...)
+		c.Dir = dir
+		c.Env = append(append(os.Environ(), l.world.Env...), "ROUTER_NAME="+name, "ROUTER_LISTEN="+n.Listen(),
+			"ROUTER_DISCOVERY="+n.discovery, "ROUTER_CONFIG="+filepath.Join(dir, "config.json"), "TMPDIR="+filepath.Join(dir, "tmp"))
+		return c
+	}}
+	l.nodes[name] = n
+	l.order = append(l.order, n)
+	return n, nil
+}
+
+// configure writes the node's configuration as the platform does.
+func (n *Node) configure() error {
+	w := &n.lab.world
+	n.starts++
+	text, err := json.Marshal(map[string]any{
+		"name": n.name, "listen": n.Listen(), "control": n.Control(), "discovery": n.discovery,
+		"seed":     fmt.Sprintf("%016x", xxhash.Sum64String(n.name)^w.Seed^uint64(n.starts)<<32),
+		"limits":   map[string]any{"cores": w.Limits.Cores, "memory_mb": w.Limits.MemoryMB, "sockets": w.Limits.Sockets},
+		"known":    n.lab.disc.known(n),
+		"settings": w.settings(n.tier, n.self, n.zone),
+	})
+	if err != nil {
+		panic(err) // plain values
+	}
+	return os.WriteFile(filepath.Join(n.process.dir, "config.json"), text, 0o600)
+}
+
+// Start starts the process; it must not be running, and its address must be free.
+func (n *Node) Start() error {
+	ln, err := net.Listen("tcp", n.Listen())
+	if err != nil {
+		return fmt.Errorf("the address of %s is taken: %w", n.name, err)
+	}
+	ln.Close()
+	if err := n.configure(); err != nil {
+		return err
+	}
+	n.lab.referee.forget(n.name)
+	return n.process.start()
+}
+
+// Kill ends the process at once, with SIGKILL.
+func (n *Node) Kill() {
+	n.lab.spans.begin(n.name, n.lab.now())
+	n.process.kill()
+}
+
+// Terminate sends SIGTERM and waits for the end, which it brings by SIGKILL after the longest deadline and 0.7 s. It
+// says whether that was needed.
+func (n *Node) Terminate() (killed bool) {
+	longest := 3 * time.Second
+	for _, c := range n.lab.world.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	n.process.signal(syscall.SIGTERM) // fails only where it has ended
+	if _, over := n.process.running(); over != nil {
+		select {
+		case <-over:
+		case <-time.After(longest + 700*time.Millisecond):
+			n.process.kill()
+			killed = true
+		}
+	}
+	n.lab.spans.begin(n.name, n.lab.now())
+	return killed
+}
+
+// Stop halts the process with SIGSTOP, and Continue lets it go on.
+func (n *Node) Stop() error {
+	n.lab.spans.begin(n.name, n.lab.now())
+	return n.process.signal(syscall.SIGSTOP)
+}
+
+// Continue ends a Stop.
+func (n *Node) Continue() error {
+	err := n.process.signal(syscall.SIGCONT)
+	n.lab.spans.end(n.name, n.lab.now())
+	return err
+}
+
+// Usage is what the process takes now.
+func (n *Node) Usage() Usage { return n.process.usage() }
+
+// Ready asks the node whether clients may come.
+func (n *Node) Ready(ctx context.Context) bool {
+	yes, _ := ready(ctx, asker, n.Listen())
+	return yes
+}
+
+// ended is told of each end of the process.
+func (n *Node) ended(crash string) {
+	n.lab.linksTo(n.name, gateRefuse)
+	select {
+	case <-n.lab.done:
+		return
+	default:
+	}
+	n.lab.spans.begin(n.name, n.lab.now())
+	if crash != "" {
+		n.lab.referee.find(Crash, "", n.name, crash)
+	}
+}
+
+// Up waits until the process answers that clients may come; the front may take a moment longer.
+func (n *Node) Up(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.lab.world.Ready)
+	defer cancel()
+	for look := time.NewTicker(20 * time.Millisecond); ; {
+		if n.Ready(ctx) {
+			look.Stop()
+			n.lab.linksTo(n.name, gateOpen)
+			n.lab.spans.end(n.name, n.lab.now())
+			return nil
+		}
+		if running, _ := n.process.running(); !running {
+			look.Stop()
+			return fmt.Errorf("%s ended before it was ready; it said: %s", n.name, n.process.tail(2))
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			look.Stop()
+			return fmt.Errorf("%s never became ready at %s; it said: %s", n.name, n.Listen(), n.process.tail(2))
+		}
+	}
+}
+
+// startAll starts the last tier's nodes first, and waits until the front has all of its own.
+func (l *Lab) startAll(ctx context.Context) error {
+	for _, n := range l.order {
+		l.spans.begin(n.name, l.now())
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	l.front.start()
+	for _, n := range l.order {
+		if err := n.Up(ctx); err != nil {
+			return err
+		}
+	}
+	for _, n := range l.front.nodes {
+		for in, moved := l.front.isIn(n); !in; in, moved = l.front.isIn(n) {
+			select {
+			case <-moved:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// now is the lab's clock: the time since it began.
+func (l *Lab) now() time.Duration { return time.Since(l.began) }
+
+// Now is the time since the lab began, as findings have it.
+func (l *Lab) Now() time.Duration { return l.now() }
+
+// Referee is the lab's referee.
+func (l *Lab) Referee() *Referee { return l.referee }
+
+// Node returns a node by name; nil: there is none.
+func (l *Lab) Node(name string) *Node { return l.nodes[name] }
+
+// Server returns a server by name; nil: there is none.
+func (l *Lab) Server(name string) *Server { return l.servers[name] }
+
+// Nodes returns all nodes, the front ones first.
+func (l *Lab) Nodes() []*Node { return l.order }
+
+// count books an attempt of a node that reached a server.
+func (l *Lab) count(from string, s *Server) {
+	l.attempts.Add(1)
+	if n := l.nodes[from]; n != nil && n.zone != s.zone {
+		l.crossed.Add(1)
+	}
+}
+
+// Attempts is how many attempts have reached servers, at all tiers, and how many of them came from another zone.
+func (l *Lab) Attempts() (all, crossed int64) { return l.attempts.Load(), l.crossed.Load() }
+
+// Uneven is the number of answers that the busiest server of the first tier has made, over the mean.
+func (l *Lab) Uneven() float64 {
+	sum, most, n := 0, 0, 0
+	for _, s := range l.servers {
+		if s.tier == 0 {
+			served := s.Served()
+			sum, most, n = sum+served, max(most, served), n+1
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(most*n) / float64(sum)
+}
+
+// own runs f until it returns; Close waits for it.
+func (l *Lab) own(f func()) {
+	l.owned.Add(1)
+	go func() {
+		defer l.owned.Done()
+		f()
+	}()
+}
+
+// entry is the server as discovery lists it.
+func (s *Server) entry() listed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := listed{Host: s.name, Site: s.zone, Class: "m2", Health: s.health, Share: 1}
+	if s.born != 0 {
+		h.Born = s.lab.began.Add(s.born).UnixMilli()
+	}
+	return h
+}
+
+// way returns the direction from one part to another.
+func (l *Lab) way(from, to string) *way {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wayLocked(from, to)
+}
+
+func (l *Lab) wayLocked(from, to string) *way {
+	key := from + "->" + to
+	if l.ways[key] == nil {
+		l.ways[key] = newWay()
+	}
+	return l.ways[key]
+}
+
+// linked says whether a link is to have a proxy.
+func (l *Lab) linked(from, to string) bool {
+	for _, p := range l.world.Links {
+		a, b, _ := strings.Cut(p, "->")
+		if matches(a, from) && matches(b, to) || matches(a, to) && matches(b, from) {
+			return true
+		}
+	}
+	return false
+}
+
+func matches(pattern, name string) bool {
+	ok, _ := path.Match(pattern, name) // patterns were checked
+	return ok
+}
+
+// linkAddr is the address at which one part dials another, whose own address is target.
+func (l *Lab) linkAddr(from, to, target string) string {
+	if !l.linked(from, to) {
+		return target
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := from + "->" + to
+	if l.links[key] == nil {
+		link, err := newTCPLink(l.linkIP()+":0", target, l.wayLocked(from, to), l.wayLocked(to, from))
+		if err != nil {
+			return target // out of ports or descriptors: the fault then finds no link, and says so
+		}
+		l.links[key] = link
+	}
+	return l.links[key].gate.addr
+}
+
+func (l *Lab) nodeAddr(from string, n *Node) string { return l.linkAddr(from, n.name, n.Listen()) }
+func (l *Lab) serverAddr(n *Node, name string) string {
+	return l.linkAddr(n.name, name, l.servers[name].gate.addr)
+}
+
+// linksTo makes all links to a part meet new connections as the part does.
+func (l *Lab) linksTo(name string, mode gateMode) {
+	l.mu.Lock()
+	var to []*tcpLink
+	for key, link := range l.links {
+		if _, b, _ := strings.Cut(key, "->"); b == name {
+			to = append(to, link)
+		}
+	}
+	l.mu.Unlock()
+	for _, link := range to {
+		link.follow(mode)
+	}
+}
+
+// SetLink changes the direction from one part to another, both path patterns as in "n*" or "rooms-?", on every link of
+// the world that has a proxy. It returns how many directions that were.
+func (l *Lab) SetLink(from, to string, c Cond) (n int) {
+	l.mu.Lock()
+	touched := map[string]*way{}
+	for key := range l.links {
+		a, b, _ := strings.Cut(key, "->")
+		for _, d := range [][2]string{{a, b}, {b, a}} {
+			if matches(from, d[0]) && matches(to, d[1]) {
+				touched[d[0]+"->"+d[1]] = l.wayLocked(d[0], d[1])
+			}
+		}
+	}
+	var links []*tcpLink
+	for key, link := range l.links {
+		a, b, _ := strings.Cut(key, "->")
+		if touched[a+"->"+b] != nil || touched[b+"->"+a] != nil {
+			links = append(links, link)
+		}
+	}
+	l.mu.Unlock()
+	for key, p := range touched {
+		p.set(c)
+		if (c == Cond{}) {
+			l.spans.end(key, l.now())
+		} else {
+			l.spans.begin(key, l.now())
+		}
+	}
+	for _, link := range links {
+		link.pathsChanged()
+	}
+	return len(touched)
+}
+
+// ResetLink resets every connection on the links from one part to another.
+func (l *Lab) ResetLink(from, to string) (n int) {
+	l.mu.Lock()
+	var hit []*tcpLink
+	for key, link := range l.links {
+		if a, b, _ := strings.Cut(key, "->"); matches(from, a) && matches(to, b) {
+			hit = append(hit, link)
+			l.spans.touch(key, l.now())
+		}
+	}
+	l.mu.Unlock()
+	for _, link := range hit {
+		link.gate.reset()
+	}
+	return len(hit)
+}
+
+// Drain makes discovery list a server as draining; after the time it is gone, and answers nobody.
+func (l *Lab) Drain(s *Server, goneAfter time.Duration) {
+	s.mu.Lock()
+	s.health = "terminating"
+	s.mu.Unlock()
+	l.disc.publish(s.tier, s.entry(), -1)
+	if goneAfter <= 0 {
+		return
+	}
+	time.AfterFunc(goneAfter, func() {
+		select {
+		case <-l.done:
+			return
+		default:
+		}
+		s.mu.Lock()
+		s.health = "terminated"
+		s.mu.Unlock()
+		l.disc.publish(s.tier, s.entry(), -1)
+		s.crash()
+	})
+}
+
+// Discovery changes how discovery fails.
+func (l *Lab) Discovery(o Outage) {
+	l.disc.set(o)
+	if (o == Outage{}) {
+		l.spans.end("discovery", l.now())
+	} else {
+		l.spans.begin("discovery", l.now())
+	}
+}
+
+// Close ends every process and waits for all that the lab has started.
+func (l *Lab) Close() {
+	l.closing.Do(func() {
+		close(l.done)
+		for _, n := range l.order {
+			n.process.signal(syscall.SIGCONT) // fails where it has ended
+			n.process.kill()
+		}
+		if l.front != nil && l.front.stop != nil {
+			l.front.close()
+		}
+		for _, c := range l.clients {
+			c.close()
+		}
+		if l.disc != nil {
+			l.disc.close()
+		}
+		for _, s := range l.servers {
+			s.gate.Close()
+			s.http.Close()
+		}
+		for _, s := range l.servers {
+			if s.next != nil {
+				s.next.close()
+			}
+		}
+		l.mu.Lock()
+		links := l.links
+		l.links = map[string]*tcpLink{}
+		l.mu.Unlock()
+		for _, link := range links {
+			link.close()
+		}
+		l.owned.Wait()
+		close(l.spawner.done)
+		if l.lock != nil {
+			l.lock.Close()
+		}
+		if l.scratch {
+			os.RemoveAll(l.dir)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,133 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"deckrelay/internal/lab/labtest"
+)
+
+var binary string // the node program, built once
+
+func TestMain(m *testing.M) {
+	if as := os.Getenv("LAB_TEST_AS"); as != "" {
+		double(as)
+		return
+	}
+	os.Exit(labtest.Main(m, &binary))
+}
+
+// small is a world of one tier, or two, with little work.
+func small(nodes int, servers ...int) World {
+	w := World{Binary: binary, Seed: 1, Zones: []string{"a", "b"}, Classes: []Class{
+		{Name: "view", Effect: "read_like", Share: 0.7, Aim: time.Second, Deadline: 2 * time.Second},
+		{Name: "booking", Effect: "non_idempotent", Share: 0.3, Aim: time.Second, Deadline: 2 * time.Second},
+	}}
+	names := []string{"front", "schedule", "rooms"}
+	for i, n := range servers {
+		t := Tier{Name: names[i], Servers: n}
+		if i == 0 {
+			t.Nodes = nodes
+		}
+		if i < len(servers)-1 {
+			t.Calls = 1
+		}
+		w.Tiers = append(w.Tiers, t)
+		for c := range w.Classes {
+			w.Classes[c].Work = append(w.Classes[c].Work, 5*time.Millisecond)
+		}
+	}
+	return w
+}
+
+// tally counts the ends of a drive.
+type tally struct {
+	mu   sync.Mutex
+	ends map[string]int
+	all  []Served
+}
+
+func (x *tally) add(s Served) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ends == nil {
+		x.ends = map[string]int{}
+	}
+	x.ends[s.End]++
+	x.all = append(x.all, s)
+}
+
+func (x *tally) count(end string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.ends[end]
+}
+
+func draw(t *testing.T, w *World, l Load, length time.Duration) (Load, []Arrival) {
+	t.Helper()
+	if err := l.Fill(w); err != nil {
+		t.Fatal(err)
+	}
+	return l, Draw(w, &l, length, 7)
+}
+
+func clean(t *testing.T, l *Lab) {
+	t.Helper()
+	found, counts := l.Findings()
+	if len(counts) > 0 {
+		t.Errorf("findings: %s", summary(counts))
+		for _, f := range found[:min(5, len(found))] {
+			t.Log(f)
+		}
+	}
+	a := l.Referee().Account()
+	if a.Taken != a.Answered+a.Left+a.CutOff+a.Lost || a.Open != 0 {
+		t.Errorf("the account does not add up: %+v", a)
+	}
+}
+
+// Three tiers of the real program serve a drawn load, and every request is accounted for.
+func TestThreeTiersServe(t *testing.T) {
+	l := Start(t, small(2, 2, 2, 2))
+	load, day := draw(t, &l.world, Load{Rate: 100}, 2*time.Second)
+	var got tally
+	l.Drive(context.Background(), &load, day, got.add)
+	if got.count("served") < len(day)*95/100 {
+		t.Errorf("served %d of %d: %v", got.count("served"), len(day), got.ends)
+	}
+	clean(t, l)
+	if a := l.Referee().Account(); a.Taken < 3*len(day)*95/100 {
+		t.Errorf("taken %d at three tiers for %d arrivals", a.Taken, len(day))
+	}
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	var out [3]bytes.Buffer
+	for i, seed := range []uint64{5, 5, 6} {
+		w := small(3, 4, 4)
+		if err := w.Fill(); err != nil {
+			t.Fatal(err)
+		}
+		load := Load{Rate: 50, Impatient: 0.05, Bursts: []Burst{{At: time.Second, For: time.Second, Times: 3}}}
+		if err := load.Fill(&w); err != nil {
+			t.Fatal(err)
+		}
+		steps, err := Schedule(&w, []Fault{{Kind: "kill", Target: "n*", Pick: 2, At: time.Second, Jitter: time.Second, For: time.Second}}, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := WriteDay(&out[i], Draw(&w, &load, 5*time.Second, seed), steps); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !bytes.Equal(out[0].Bytes(), out[1].Bytes()) {
+		t.Error("seed 5 gave two days")
+	}
+	if bytes.Equal(out[0].Bytes(), out[2].Bytes()) || out[0].Len() < 1000 {
+		t.Error("seeds 5 and 6 gave the same day, or a day is empty")
+	}
+}
--- /dev/null
+++ b/internal/lab/lateness.go
@@ -0,0 +1,81 @@
+package lab
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	beat    = 10 * time.Millisecond
+	tooLate = 25 * time.Millisecond // half of the rules' slack: a lab this late proves nothing
+)
+
+// asker asks nodes whether they are ready.
+var asker = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+
+// lateness watches how late this process itself is: a timer every 10 ms, and the arrivals as they are sent.
+type lateness struct {
+	mu    sync.Mutex
+	worst map[int64]time.Duration // by second
+}
+
+// run beats until the lab closes.
+func (x *lateness) run(l *Lab) {
+	x.worst = map[int64]time.Duration{}
+	l.own(func() {
+		tick := time.NewTicker(beat)
+		defer tick.Stop()
+		last := l.now()
+		for {
+			select {
+			case <-tick.C:
+			case <-l.done:
+				return
+			}
+			now := l.now()
+			x.note(now, now-last-beat)
+			last = now
+		}
+	})
+}
+
+// note records that something was late by d at a time.
+func (x *lateness) note(at, d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s := int64(at / time.Second); d > x.worst[s] {
+		x.worst[s] = d
+	}
+}
+
+// Lateness is the worst lateness of the lab itself from one time to another, by whole seconds around them.
+func (l *Lab) Lateness(from, to time.Duration) (worst time.Duration) {
+	x := &l.lateness
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for s := int64(from / time.Second); s <= int64(to/time.Second); s++ {
+		worst = max(worst, x.worst[s])
+	}
+	return worst
+}
+
+// Void says that the lab was too late from one time to another to hold anything against a node.
+func (l *Lab) Void(from, to time.Duration) bool { return l.Lateness(from, to) > tooLate }
+
+// Findings returns what broke a rule. Those in a time when the lab itself was too late are marked void; the counts are
+// of the others.
+func (l *Lab) Findings() (found []Finding, counts map[Rule]int) {
+	found, _ = l.referee.Findings()
+	counts = map[Rule]int{}
+	for i, f := range found {
+		if f.Rule != Crash && l.Void(f.At-2*time.Second, f.At) {
+			found[i].Void = true
+			continue
+		}
+		counts[f.Rule]++
+	}
+	return found, counts
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Load says what clients do. Arrivals are a Poisson process that does not wait for answers.
+type Load struct {
+	Rate       float64       `toml:"rate"`        // first tries a second over all zones
+	ByZone     []float64     `toml:"by_zone"`     // shares of the zones; default: even
+	Bursts     []Burst       `toml:"burst"`       // times at which the rate is another
+	Retries    int           `toml:"retries"`     // most tries after the first
+	Backoff    time.Duration `toml:"backoff"`     // before a retry, drawn evenly from a half to one and a half; default 200 ms
+	Patience   float64       `toml:"patience"`    // a try is given up after this share of the deadline at the least; default 0.7
+	Impatient  float64       `toml:"impatient"`   // share of clients that leave before their time is up
+	MostFlight int           `toml:"most_flight"` // requests of clients out at once; more are not sent and void the window; default 20,000
+}
+
+// Burst multiplies the rate for a while.
+type Burst struct {
+	At    time.Duration `toml:"at"`
+	For   time.Duration `toml:"for"`
+	Times float64       `toml:"times"`
+}
+
+// Fill sets the defaults and checks.
+func (l *Load) Fill(w *World) error {
+	orDefault(&l.Backoff, 200*time.Millisecond)
+	orDefault(&l.Patience, 0.7)
+	orDefault(&l.MostFlight, 20000)
+	if l.ByZone == nil {
+		for range w.Zones {
+			l.ByZone = append(l.ByZone, 1)
+		}
+	}
+	switch {
+	case !(l.Rate > 0 && l.Rate <= 20000):
+		return &KeyError{"load.rate", "must be above 0 and at most 20000 a second"}
+	case len(l.ByZone) != len(w.Zones):
+		return &KeyError{"load.by_zone", fmt.Sprintf("%d shares for %d zones", len(l.ByZone), len(w.Zones))}
+	case l.Retries < 0 || l.Retries > 10:
+		return &KeyError{"load.retries", "must be from 0 to 10"}
+	case !(l.Patience > 0 && l.Patience <= 1):
+		return &KeyError{"load.patience", "must be above 0 and at most 1"}
+	case !(l.Impatient >= 0 && l.Impatient <= 1):
+		return &KeyError{"load.impatient", "must be from 0 to 1"}
+	}
+	for i, b := range l.Bursts {
+		if b.At < 0 || b.For <= 0 || !(b.Times >= 0 && b.Times <= 100) {
+			return &KeyError{fmt.Sprintf("load.burst[%d].times", i), "a burst needs a time, a length and a factor from 0 to 100"}
+		}
+	}
+	return nil
+}
+
+// Arrival is one client's first try, as drawn.
+type Arrival struct {
+	At       time.Duration // since the load began
+	ID       string
+	Class    int
+	Tenant   int // -1: there are none
+	Zone     int
+	Patience float64 // share of the deadline after which a try is given up
+	Leaves   float64 // share of the deadline after which the client goes away; 0: it stays
+	Over     bool    // beyond its tenant's quota in that second
+}
+
+func pickShare(r *rand.Rand, shares func(int) float64, n int) int {
+	sum := 0.0
+	for i := range n {
+		sum += shares(i)
+	}
+	x := r.Float64() * sum
+	for i := range n {
+		if x -= shares(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// Draw draws a day's arrivals. The same world, load, length and seed give the same day.
+func Draw(w *World, l *Load, length time.Duration, seed uint64) []Arrival {
+	r := rand.New(rand.NewPCG(seed, 1))
+	rate := func(at time.Duration) float64 {
+		v := l.Rate
+		for _, b := range l.Bursts {
+			if at >= b.At && at < b.At+b.For {
+				v *= b.Times
+			}
+		}
+		return v
+	}
+	most := l.Rate
+	for _, b := range l.Bursts {
+		most = max(most, l.Rate*b.Times)
+	}
+	var day []Arrival
+	sent := map[[2]int64]float64{} // by tenant and second
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() / most * float64(time.Second))
+		if at >= length {
+			return day
+		}
+		if r.Float64()*most >= rate(at) { // thinning
+			continue
+		}
+		a := Arrival{At: at, Tenant: -1, ID: strconv.FormatUint(xxhash.Sum64String(fmt.Sprintf("%d/%d", seed, len(day))), 16)}
+		a.Class = pickShare(r, func(i int) float64 { return w.Classes[i].Share }, len(w.Classes))
+		a.Zone = pickShare(r, func(i int) float64 { return l.ByZone[i] }, len(w.Zones))
+		a.Patience = l.Patience + (1-l.Patience)*r.Float64()
+		if r.Float64() < l.Impatient {
+			a.Leaves = a.Patience * r.Float64()
+		}
+		if len(w.Tenants) > 0 {
+			a.Tenant = pickShare(r, func(i int) float64 { return w.Tenants[i].Share }, len(w.Tenants))
+			key := [2]int64{int64(a.Tenant), int64(at / time.Second)}
+			sent[key]++
+			q := w.Tenants[a.Tenant].Quota
+			a.Over = q > 0 && sent[key] > q
+		}
+		day = append(day, a)
+	}
+}
+
+// WriteDay writes a drawn day, one arrival or step a line, so that two can be compared byte by byte.
+func WriteDay(to io.Writer, day []Arrival, steps []Step) error {
+	for _, a := range day {
+		if _, err := fmt.Fprintf(to, "%d %s class=%d tenant=%d zone=%d patience=%.4f leaves=%.4f over=%t\n", a.At.Microseconds(), a.ID,
+			a.Class, a.Tenant, a.Zone, a.Patience, a.Leaves, a.Over); err != nil {
+			return err
+		}
+	}
+	for _, s := range steps {
+		if _, err := fmt.Fprintf(to, "%d %s\n", s.At.Microseconds(), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Served is what became of one arrival, with all its tries.
+type Served struct {
+	Arrival Arrival
+	End     string        // served, late, refused, failed, left, unreached or unsent
+	Latency time.Duration // from the drawn arrival to the last byte; coordinated omission cannot hide a stall
+	Late    time.Duration // how late the lab itself was with the first try
+	Tries   int
+	Node    string
+	Worth   float64 // of the request, whether earned or not
+}
+
+// Drive plays a drawn day and calls done, from several goroutines, with what became of each arrival. It returns once
+// every arrival has ended, or soon after ctx ends.
+func (l *Lab) Drive(ctx context.Context, load *Load, day []Arrival, done func(Served)) {
+	began := l.now()
+	var flight sync.WaitGroup
+	defer flight.Wait()
+	places := make(chan struct{}, load.MostFlight)
+	for _, a := range day {
+		if !sleepUntil(l.began.Add(began+a.At), ctx.Done()) {
+			return
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			done(Served{Arrival: a, End: "unsent"})
+			continue
+		}
+		flight.Add(1)
+		go func() {
+			defer flight.Done()
+			defer func() { <-places }()
+			done(l.client(ctx, load, began, a))
+		}()
+	}
+}
+
+// client is one client from its first try to its end.
+func (l *Lab) client(ctx context.Context, load *Load, began time.Duration, a Arrival) Served {
+	class := &l.world.Classes[a.Class]
+	from := began + a.At
+	s := Served{Arrival: a, Late: l.now() - from, Worth: class.Worth}
+	l.lateness.note(l.now(), s.Late)
+	if a.Over {
+		s.Worth *= l.world.OverWorth
+	}
+	end := from + class.Deadline
+	q := call{id: a.ID, class: class}
+	if a.Tenant >= 0 {
+		q.tenant = l.world.Tenants[a.Tenant].Name
+	}
+	if a.Leaves > 0 {
+		q.leaves = from + time.Duration(a.Leaves*float64(class.Deadline))
+	}
+	start := from
+	for try := 0; ; try++ {
+		q.deadline = min(end, start+time.Duration(a.Patience*float64(class.Deadline)))
+		ans := l.clients[a.Zone].do(ctx, q)
+		s.Tries++
+		s.Latency, s.Node, s.End = ans.at-from, ans.node, ans.end.String()
+		if ans.end == servedEnd && s.Latency > class.Aim {
+			s.End = "late"
+		}
+		if ans.end == servedEnd || ans.end == leftEnd || try >= load.Retries || ctx.Err() != nil {
+			return s
+		}
+		wait := time.Duration((0.5 + l.drawn(a.ID, "backoff"+strconv.Itoa(try))) * float64(load.Backoff))
+		start = ans.at + max(wait, ans.retryAfter)
+		if start >= end || q.leaves != 0 && start >= q.leaves || !sleepUntil(l.began.Add(start), ctx.Done()) {
+			return s
+		}
+		q.id, q.again = subID(a.ID, -1-try), true
+	}
+}
--- /dev/null
+++ b/internal/lab/referee.go
@@ -0,0 +1,358 @@
+package lab
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rule names what a finding breaks.
+type Rule string
+
+// The rules of the platform, and what ends a run.
+const (
+	Lost       Rule = "lost"             // a request taken got no whole answer in time
+	Twice      Rule = "answered twice"   // a second answer to one request
+	Foreign    Rule = "foreign answer"   // served with something that no server made for it
+	UnsafeRun  Rule = "unsafe run twice" // a copy of what may have run, of a class that must not
+	Drained    Rule = "sent to drained"  // something new to a draining or gone server too late
+	ColdPushed Rule = "cold pushed over" // a cold server sent more than it bears
+	UnknownID  Rule = "unknown id"       // a request that no client sent
+	TooMany    Rule = "too many attempts"
+	Crash      Rule = "crash" // a node ended by itself
+)
+
+// Finding is one broken rule.
+type Finding struct {
+	At     time.Duration `json:"at"` // since the lab's start
+	Rule   Rule          `json:"rule"`
+	ID     string        `json:"id,omitempty"`
+	Node   string        `json:"node,omitempty"`
+	Detail string        `json:"detail"`
+	Void   bool          `json:"void,omitempty"` // the machine was too slow then: nothing is proved
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%.3fs %s: id=%s node=%s %s", f.At.Seconds(), f.Rule, f.ID, f.Node, f.Detail)
+}
+
+const (
+	shards      = 64
+	mostFound   = 1000        // findings kept; more are counted
+	keepRecords = time.Minute // a request is remembered so long after its deadline, for late copies
+)
+
+// Account says what became of the requests that nodes took: Taken = Answered + Left + CutOff + Lost.
+type Account struct {
+	Taken    int `json:"taken"`    // written whole to a node's connection
+	Answered int `json:"answered"` // got a whole answer
+	Left     int `json:"left"`     // the client went away first, or its time ran out
+	CutOff   int `json:"cut_off"`  // their node or its link was killed, stopped or cut by the lab
+	Lost     int `json:"lost"`
+	Unread   int `json:"unread"` // the connection ended before the node had read them: not taken, or free of blame
+	Open     int `json:"open"`   // not ended yet
+}
+
+// Referee keeps one record for each request id, of clients and of servers calling on, and checks the rules.
+type Referee struct {
+	now      func() time.Duration
+	spans    *spans
+	unsafe   map[string]bool // by class
+	attempts int             // most for one id
+	salt     uint64
+
+	shard [shards]struct {
+		sync.Mutex
+		of map[string]*record
+	}
+
+	mu      sync.Mutex
+	found   []Finding
+	counts  map[Rule]int
+	account Account
+	told    map[[2]string]time.Duration // by node and server: when it learned that it drains or is gone
+	last    time.Duration               // of the last sweep
+}
+
+// record is what is known of one request id.
+type record struct {
+	class    string
+	node     string
+	deadline time.Duration // when the client's time ends
+	written  time.Duration // whole to a node; 0: not yet
+	ended    bool
+	attempts int
+	ran      int // attempts that may have run
+	served   int // whole answers that servers made
+}
+
+func newReferee(w *World, now func() time.Duration, s *spans) *Referee {
+	r := &Referee{now: now, spans: s, unsafe: map[string]bool{}, attempts: w.Limits.MaxAttempts, salt: w.Seed ^ 0x9e3779b97f4a7c15,
+		counts: map[Rule]int{}, told: map[[2]string]time.Duration{}}
+	for _, c := range w.Classes {
+		r.unsafe[c.Name] = c.Effect == "non_idempotent"
+	}
+	for i := range r.shard {
+		r.shard[i].of = map[string]*record{}
+	}
+	return r
+}
+
+// with calls f on the record of an id with its shard locked. It says whether there is one.
+func (r *Referee) with(id string, f func(*record)) bool {
+	s := &r.shard[xxhash.Sum64String(id)%shards]
+	s.Lock()
+	defer s.Unlock()
+	rec := s.of[id]
+	if rec != nil {
+		f(rec)
+	}
+	return rec != nil
+}
+
+func (r *Referee) find(rule Rule, id, node, detail string) {
+	at := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[rule]++
+	if len(r.found) < mostFound {
+		r.found = append(r.found, Finding{At: at, Rule: rule, ID: id, Node: node, Detail: detail})
+	}
+}
+
+func (r *Referee) count(f func(*Account)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.account)
+}
+
+// begin makes an id known, before its first byte is written.
+func (r *Referee) begin(id, class string, deadline time.Duration) {
+	s := &r.shard[xxhash.Sum64String(id)%shards]
+	s.Lock()
+	defer s.Unlock()
+	s.of[id] = &record{class: class, deadline: deadline}
+}
+
+// heading says which node a request is about to be written to.
+func (r *Referee) heading(id, node string) { r.with(id, func(rec *record) { rec.node = node }) }
+
+// wrote says that a request is whole at a node's connection: the node has taken it.
+func (r *Referee) wrote(id string, at time.Duration) {
+	r.with(id, func(rec *record) { rec.written = at })
+	r.count(func(a *Account) { a.Taken++ })
+}
+
+// unread takes a request back: its connection ended with nothing said, as it crossed the node's close. It says whether
+// that can be; if some server has it, the node had read it.
+func (r *Referee) unread(id string) (can bool) {
+	r.with(id, func(rec *record) {
+		if can = rec.attempts == 0; can {
+			rec.written = 0
+		}
+	})
+	if can {
+		r.count(func(a *Account) { a.Taken--; a.Unread++ })
+	}
+	return can
+}
+
+// answered says that a request got its answer. A 200 must carry what a server made.
+func (r *Referee) answered(id string, status int, body string, checkBody bool) {
+	var foreign, node string
+	r.with(id, func(rec *record) {
+		rec.ended, node = true, rec.node
+		if status == 200 && checkBody && (rec.served == 0 || body != r.answer(id)) {
+			foreign = fmt.Sprintf("%d servers served it, the body is %.60q", rec.served, body)
+		}
+	})
+	r.count(func(a *Account) { a.Answered++ })
+	if foreign != "" {
+		r.find(Foreign, id, node, foreign)
+	}
+}
+
+// left says that the client of a taken request went away first.
+func (r *Referee) left(id string) {
+	r.with(id, func(rec *record) { rec.ended = true })
+	r.count(func(a *Account) { a.Left++ })
+}
+
+// unanswered says that a taken request will get no answer: its connection broke, or its time and the slack are over.
+// It returns whether the lab itself is the cause.
+func (r *Referee) unanswered(id, caller, how string) bool {
+	var rec record
+	r.with(id, func(p *record) { p.ended = true; rec = *p })
+	now := r.now()
+	excused := r.spans.overlap(rec.node, rec.written-slack, now) || r.spans.overlap(caller+"->"+rec.node, rec.written-slack, now) ||
+		r.spans.overlap(rec.node+"->"+caller, rec.written-slack, now) || r.spans.overlap(caller, rec.written-slack, now)
+	r.count(func(a *Account) {
+		if excused {
+			a.CutOff++
+		} else {
+			a.Lost++
+		}
+	})
+	if !excused {
+		r.find(Lost, id, rec.node, fmt.Sprintf("%s, %.0f ms after it was written, deadline %.3fs", how, ms(now-rec.written), rec.deadline.Seconds()))
+	}
+	return excused
+}
+
+// stray says that a node answered a request that had its answer.
+func (r *Referee) stray(id, node string) {
+	r.find(Twice, id, node, "an answer came when none was owed")
+}
+
+// verdict says what a server does with an attempt.
+type verdict int
+
+const (
+	runIt verdict = iota
+	unknown
+	duplicate
+)
+
+// arrived records an attempt that came whole to a server; first is when its first byte came. It returns what to do
+// with it and which node has sent it.
+func (r *Referee) arrived(id, server string, first time.Duration) (v verdict, node string) {
+	var rec record
+	known := r.with(id, func(p *record) {
+		p.attempts++
+		if p.ran > 0 && r.unsafe[p.class] {
+			v = duplicate
+		}
+		p.ran++ // until it turns out that it never ran
+		rec = *p
+	})
+	switch {
+	case !known:
+		r.find(UnknownID, id, "", "came to "+server)
+		return unknown, ""
+	case v == duplicate:
+		r.find(UnsafeRun, id, rec.node, fmt.Sprintf("attempt %d of a %s came to %s after one that may have run", rec.attempts, rec.class, server))
+	}
+	if rec.attempts > r.attempts {
+		r.find(TooMany, id, rec.node, fmt.Sprintf("attempt %d came to %s", rec.attempts, server))
+	}
+	r.mu.Lock()
+	at, told := r.told[[2]string{rec.node, server}]
+	r.mu.Unlock()
+	late := first - at
+	if told && late > drainWithin+slack && !r.spans.overlap(rec.node, at, first) &&
+		!r.spans.overlap(rec.node+"->"+server, at, first) && !r.spans.overlap(server, at, first) {
+		r.find(Drained, id, rec.node, fmt.Sprintf("came to %s %.2f s after the node was told", server, late.Seconds()))
+	}
+	return v, rec.node
+}
+
+// neverRan takes an attempt back that its server turned away.
+func (r *Referee) neverRan(id string) { r.with(id, func(rec *record) { rec.ran-- }) }
+
+// served says that a server made an answer; it returns the answer's body.
+func (r *Referee) serve(id string) string {
+	r.with(id, func(rec *record) { rec.served++ })
+	return r.answer(id)
+}
+
+func (r *Referee) answer(id string) string {
+	return fmt.Sprintf("%s %016x", id, xxhash.Sum64String(id)^r.salt)
+}
+
+// tell records that discovery has written to a node that a server drains or is gone, or is in service.
+func (r *Referee) tell(node, server string, inService bool) {
+	at := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := [2]string{node, server}
+	if inService {
+		delete(r.told, key)
+	} else if _, ok := r.told[key]; !ok {
+		r.told[key] = at
+	}
+}
+
+// forget lets a node's news go: a process that starts afresh has been told nothing.
+func (r *Referee) forget(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key := range r.told {
+		if key[0] == node {
+			delete(r.told, key)
+		}
+	}
+}
+
+// sweep drops records whose time is long over, at most once a second.
+func (r *Referee) sweep() {
+	now := r.now()
+	r.mu.Lock()
+	due := now-r.last > time.Second
+	if due {
+		r.last = now
+	}
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	for i := range r.shard {
+		s := &r.shard[i]
+		s.Lock()
+		for id, rec := range s.of {
+			if rec.deadline+keepRecords < now {
+				delete(s.of, id)
+			}
+		}
+		s.Unlock()
+	}
+}
+
+// Account returns what became of the requests so far.
+func (r *Referee) Account() Account {
+	open := 0
+	for i := range r.shard {
+		s := &r.shard[i]
+		s.Lock()
+		for _, rec := range s.of {
+			if rec.written != 0 && !rec.ended {
+				open++
+			}
+		}
+		s.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.account
+	a.Open = open
+	return a
+}
+
+// Findings returns what broke a rule, in order, and the count by rule.
+func (r *Referee) Findings() ([]Finding, map[Rule]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[Rule]int{}
+	for k, v := range r.counts {
+		counts[k] = v
+	}
+	found := append([]Finding(nil), r.found...)
+	sort.SliceStable(found, func(i, j int) bool { return found[i].At < found[j].At })
+	return found, counts
+}
+
+// summary names the rules that were broken.
+func summary(counts map[Rule]int) string {
+	if len(counts) == 0 {
+		return "no rule broken"
+	}
+	var parts []string
+	for rule, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", rule, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,259 @@
+// Package lab is an emulator of the platform that keelusher runs on. It starts the real node program in several
+// processes on loopback addresses of their own and plays everything around them in this process: clients, the front,
+// servers of up to three tiers, discovery, and links between any two of them that can fail in one direction. A
+// Referee checks the four rules for every request id. The processes run unmodified; the lab imports none of the
+// node's insides and speaks to it as the protocol says.
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// World describes the platform. The zero value of a field with a default, named beside it, means that default.
+type World struct {
+	Zones     []string      `toml:"zones"`
+	Tiers     []Tier        `toml:"tier"` // first the one that clients' nodes call
+	Classes   []Class       `toml:"class"`
+	Tenants   []Tenant      `toml:"tenant"`
+	OverWorth float64       `toml:"over_worth"` // what a request beyond its tenant's quota keeps of its worth
+	Limits    Limits        `toml:"limits"`
+	Cold      Cold          `toml:"cold"`
+	Choke     Choke         `toml:"choke"`
+	Discovery DiscoverySpec `toml:"discovery"`
+	Notice    time.Duration `toml:"front_notice"` // how late the front sees that a node has died; default 2 s
+	Links     []string      `toml:"links"`        // FROM->TO patterns of the links that get a proxy; faults add theirs
+
+	Binary string   `toml:"-"` // the node program; required
+	Args   []string `toml:"-"` // its arguments
+	Env    []string `toml:"-"` // added to each node's environment
+	Dir    string   `toml:"-"` // scratch folder; default: a new one, removed at Close
+	Seed   uint64   `toml:"-"`
+
+	TrustNodes bool          `toml:"-"` // nodes are stubs that make answers themselves
+	Ready      time.Duration `toml:"-"` // a node that is not ready after so long never will be; default 30 s
+}
+
+// Tier is one layer of servers. Nodes is for the first tier only: behind it every server has a node of its own.
+type Tier struct {
+	Name    string  `toml:"name"`
+	Nodes   int     `toml:"nodes"`
+	Servers int     `toml:"servers"`
+	PerZone []int   `toml:"per_zone"` // servers by zone; default: evenly
+	Cores   int     `toml:"cores"`    // default 2
+	Slots   int     `toml:"slots"`    // requests held at once; default 16 a core
+	Queue   int     `toml:"queue"`    // requests that wait for a slot; default as many as slots
+	Conns   int     `toml:"conns"`    // connections held at once; default 1,000
+	Calls   float64 `toml:"calls"`    // mean calls on the next tier for each request, one after another
+}
+
+// Class is a class of requests. Work is time on a standard core, by tier; Wait is spent on others.
+type Class struct {
+	Name     string          `toml:"name"`
+	Effect   string          `toml:"effect"` // read_like, idempotency_key or non_idempotent
+	Share    float64         `toml:"share"`
+	Work     []time.Duration `toml:"work"`
+	Wait     time.Duration   `toml:"wait"`
+	Aim      time.Duration   `toml:"aim"`
+	Deadline time.Duration   `toml:"deadline"`
+	Worth    float64         `toml:"worth"` // default 1
+}
+
+// Tenant is a customer. Share is its part of the traffic, Quota what it may send a second over the whole fleet.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Quota float64 `toml:"quota"`
+}
+
+// Limits bind each node and each server.
+type Limits struct {
+	Cores          float64       `toml:"cores"`           // of a node; default 1
+	MemoryMB       int           `toml:"memory_mb"`       // of a node; default 192
+	Sockets        int           `toml:"sockets"`         // of a node; default 1,024
+	ConnectTimeout time.Duration `toml:"connect_timeout"` // default 250 ms
+	ConnIdle       time.Duration `toml:"conn_idle"`       // default 10 s
+	MaxAttempts    int           `toml:"max_attempts"`    // default 5
+	MaxRetryAfter  time.Duration `toml:"max_retry_after"` // default 2 s
+}
+
+// Cold says how servers start: with From of their capacity, with all of it after Warm. One that is sent more than
+// Multiple times what it can do at that moment, over Fall, by all nodes together, falls over.
+type Cold struct {
+	From     float64       `toml:"from"`     // default 0.38
+	Warm     time.Duration `toml:"warm"`     // default 8.5 s
+	Multiple float64       `toml:"multiple"` // default 4
+	Fall     time.Duration `toml:"fall"`     // default 3 s
+}
+
+// Choke slows a server down Factor times once more than Waiting requests a core have waited for a core for After, until
+// it has been idle for Idle. A Factor of 0 turns it off.
+type Choke struct {
+	Waiting float64       `toml:"waiting"`
+	After   time.Duration `toml:"after"`
+	Factor  float64       `toml:"factor"`
+	Idle    time.Duration `toml:"idle"`
+}
+
+// DiscoverySpec says how late news are and how long one call takes.
+type DiscoverySpec struct {
+	Late   time.Duration `toml:"late"`    // from a change to its news; default 1 s
+	Call   time.Duration `toml:"call"`    // calls are handled in turn, each for so long; default 1 ms
+	Asked  bool          `toml:"asked"`   // the list follows only a watch that the module asks for
+	MaxLag time.Duration `toml:"max_lag"` // a call that waited longer fails; default 1 s
+}
+
+const (
+	slack       = 50 * time.Millisecond // what every limit in time is longer on sockets
+	drainWithin = 3 * time.Second       // nothing new to a draining or gone server after so long
+)
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Fill sets the defaults and checks the world. The error starts with the TOML key at fault, such as "tier[1].cores".
+func (w *World) Fill() error {
+	orDefault(&w.Limits.Cores, 1)
+	orDefault(&w.Limits.MemoryMB, 192)
+	orDefault(&w.Limits.Sockets, 1024)
+	orDefault(&w.Limits.ConnectTimeout, 250*time.Millisecond)
+	orDefault(&w.Limits.ConnIdle, 10*time.Second)
+	orDefault(&w.Limits.MaxAttempts, 5)
+	orDefault(&w.Limits.MaxRetryAfter, 2*time.Second)
+	orDefault(&w.Cold.From, 0.38)
+	orDefault(&w.Cold.Warm, 8500*time.Millisecond)
+	orDefault(&w.Cold.Multiple, 4)
+	orDefault(&w.Cold.Fall, 3*time.Second)
+	orDefault(&w.Discovery.Late, time.Second)
+	orDefault(&w.Discovery.Call, time.Millisecond)
+	orDefault(&w.Discovery.MaxLag, time.Second)
+	orDefault(&w.Notice, 2*time.Second)
+	orDefault(&w.Ready, 30*time.Second)
+	if len(w.Zones) == 0 {
+		w.Zones = []string{"a"}
+	}
+	if len(w.Tiers) == 0 || len(w.Tiers) > 3 {
+		return &KeyError{"tier", fmt.Sprintf("%d tiers, 1 to 3 are possible", len(w.Tiers))}
+	}
+	if len(w.Classes) == 0 {
+		return &KeyError{"class", "there is none"}
+	}
+	for i := range w.Tiers {
+		if err := w.Tiers[i].fill(i, len(w.Tiers), w.Zones); err != nil {
+			return err
+		}
+	}
+	for i := range w.Classes {
+		c, key := &w.Classes[i], fmt.Sprintf("class[%d].", i)
+		orDefault(&c.Worth, 1)
+		switch {
+		case c.Name == "":
+			return &KeyError{key + "name", "is empty"}
+		case c.Effect != "read_like" && c.Effect != "idempotency_key" && c.Effect != "non_idempotent":
+			return &KeyError{key + "effect", fmt.Sprintf("%q is none of read_like, idempotency_key, non_idempotent", c.Effect)}
+		case !(c.Share > 0):
+			return &KeyError{key + "share", "must be above 0"}
+		case len(c.Work) != len(w.Tiers):
+			return &KeyError{key + "work", fmt.Sprintf("%d figures for %d tiers", len(c.Work), len(w.Tiers))}
+		case c.Aim <= 0 || c.Deadline < c.Aim:
+			return &KeyError{key + "deadline", "aim and deadline must be above 0, the deadline no shorter than the aim"}
+		}
+	}
+	for i, t := range w.Tenants {
+		if t.Name == "" || !(t.Share > 0) || !(t.Quota >= 0) {
+			return &KeyError{fmt.Sprintf("tenant[%d].share", i), "a tenant needs a name, a share above 0 and a quota from 0"}
+		}
+	}
+	if !(w.Cold.From > 0 && w.Cold.From <= 1) || w.Cold.Multiple <= 1 {
+		return &KeyError{"cold.from", "from must be above 0 and at most 1, multiple above 1"}
+	}
+	return nil
+}
+
+func (t *Tier) fill(i, tiers int, zones []string) error {
+	key := fmt.Sprintf("tier[%d].", i)
+	orDefault(&t.Cores, 2)
+	orDefault(&t.Slots, 16*t.Cores)
+	orDefault(&t.Queue, t.Slots)
+	orDefault(&t.Conns, 1000)
+	if t.PerZone == nil {
+		t.PerZone = make([]int, len(zones))
+		for n := range t.Servers {
+			t.PerZone[n%len(zones)]++
+		}
+	}
+	sum := 0
+	for _, n := range t.PerZone {
+		sum += n
+	}
+	orDefault(&t.Servers, sum)
+	switch {
+	case t.Name == "":
+		return &KeyError{key + "name", "is empty"}
+	case len(t.PerZone) != len(zones) || sum != t.Servers || sum == 0 || sum > 200:
+		return &KeyError{key + "servers", fmt.Sprintf("%d servers, %v by zone, %d zones: 1 to 200 are possible", t.Servers, t.PerZone, len(zones))}
+	case i == 0 && (t.Nodes < 1 || t.Nodes > 100):
+		return &KeyError{key + "nodes", "the first tier needs 1 to 100"}
+	case i > 0 && t.Nodes != 0:
+		return &KeyError{key + "nodes", "only the first tier names them; each server before this tier has its own"}
+	case t.Cores < 1 || t.Slots < 1 || t.Queue < 0 || t.Conns < 1:
+		return &KeyError{key + "cores", "cores, slots and conns must be above 0"}
+	case t.Calls < 0 || (t.Calls > 0) != (i < tiers-1):
+		return &KeyError{key + "calls", "must be above 0 for each tier but the last, which calls nobody"}
+	}
+	return nil
+}
+
+// KeyError says what is wrong with one key of a world or an experiment.
+type KeyError struct{ Key, Why string }
+
+func (e *KeyError) Error() string { return e.Key + ": " + e.Why }
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// settings is the object that the platform gives to a node of a tier.
+func (w *World) settings(tier, self int, zone string) json.RawMessage {
+	type object = map[string]any
+	balancers := w.Tiers[0].Nodes
+	if tier > 0 {
+		balancers = w.Tiers[tier-1].Servers
+	}
+	var lanes, tenants []object
+	for _, c := range w.Classes {
+		lanes = append(lanes, object{"name": c.Name, "effect": c.Effect, "key-scope": "all", "late-share": 0, "stream": false,
+			"target-ms": ms(c.Aim), "deadline-ms": ms(c.Deadline), "window-ms": 5000, "worth": c.Worth})
+	}
+	for _, t := range w.Tenants {
+		tenants = append(tenants, object{"name": t.Name, "quota-per-s": t.Quota, "share": t.Share})
+	}
+	var tiers []string
+	for _, t := range w.Tiers {
+		tiers = append(tiers, t.Name)
+	}
+	registry := "pushed"
+	if w.Discovery.Asked {
+		registry = "on_request"
+	}
+	text, err := json.Marshal(object{
+		"balancers": balancers, "me": self, "tier": tier, "tiers": tiers, "zone": zone, "localities": w.Zones,
+		"blend":   object{"whole": 0.75, "worst-class": 0.1, "worst-tenant": 0.1, "worst-window": 0.05},
+		"callers": object{"marks-retry": true}, "family": "chain", "family-info": object{"passes-deadline": true},
+		"lanes": lanes, "tenants": tenants, "over-share-worth": w.OverWorth, "tick-ms": 5, "worth-by": "request",
+		"registry-mode": registry, "shapes": []string{"m2"}, "weights": "silent",
+		"telemetry": object{"fields": []string{}, "via": "silent"},
+		"limits": object{"cancelling": true, "conn-idle-ms": ms(w.Limits.ConnIdle), "connect-timeout-ms": ms(w.Limits.ConnectTimeout),
+			"max-attempts": w.Limits.MaxAttempts, "max-retry-after-ms": ms(w.Limits.MaxRetryAfter), "max-streams": 1,
+			"may-probe": false, "open-cap": 20000, "peers": false, "retry-after": true, "second-copies": true},
+		"rules": object{"answer-slack-ms": ms(slack), "ask-within-ms": 10000, "cold-from": w.Cold.From, "fall-ms": ms(w.Cold.Fall),
+			"fall-multiple": w.Cold.Multiple, "stop-sending-within-ms": ms(drainWithin), "warm-after-ms": ms(w.Cold.Warm)},
+	})
+	if err != nil {
+		panic(err) // plain maps of plain values
+	}
+	return text
+}
