quaywick-lab: play experiments, check, list and report on them

An interrupt ends the children and writes what there is. Rejected: a report from within the run; it reads the results file, so a report can be made again after any end.

--- /dev/null
+++ b/cmd/quaywick-lab/main_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"deckrelay/internal/lab/labtest"
+)
+
+var binary string
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("LAB_AS_PROGRAM") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(labtest.Main(m, &binary))
+}
+
+func program(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "LAB_AS_PROGRAM=1")
+	return c
+}
+
+func TestExitCodes(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("name = \"x\"\nlenght = \"1s\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"check", bad}, 2, "bad.toml:2: lenght: unknown key"},
+		{[]string{"check"}, 2, "arg"},
+		{[]string{"run", "nowhere.toml"}, 2, "nowhere.toml"},
+		{[]string{"report", t.TempDir()}, 1, "holds no results"},
+		{[]string{"frobnicate"}, 2, "frobnicate"},
+		{[]string{"run", "--frob"}, 2, "frob"},
+		{nil, 2, "no command"},
+		{[]string{"check", "../../experiments/first.toml"}, 0, ""},
+		{[]string{"list", "--dir", "../../experiments"}, 0, "first.toml"},
+	} {
+		c := program(x.args...)
+		out, _ := c.CombinedOutput()
+		if got := c.ProcessState.ExitCode(); got != x.code || !strings.Contains(string(out), x.says) {
+			t.Errorf("%v: exit %d, want %d; said %q, want %q in it", x.args, got, x.code, out, x.says)
+		}
+	}
+}
+
+// SIGINT ends all children, and what there is has been written.
+func TestInterrupt(t *testing.T) {
+	dir := t.TempDir()
+	c := program("run", "../../experiments/first.toml", "--binary", binary, "--out", dir)
+	c.Env = append(c.Env, "TMPDIR="+dir)
+	out, err := c.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	watched := make(chan struct{})
+	go func() { // ends with the program: it is interrupted once its nodes serve
+		defer close(watched)
+		for {
+			logs, _ := filepath.Glob(filepath.Join(dir, "quaywick-lab-*", "n1", "n1.log"))
+			for _, l := range logs {
+				if text, _ := os.ReadFile(l); strings.Contains(string(text), "to=serving") {
+					c.Process.Signal(syscall.SIGINT)
+					return
+				}
+			}
+		}
+	}()
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		t.Log(lines.Text())
+	}
+	c.Wait()
+	<-watched
+	if code := c.ProcessState.ExitCode(); code != 1 {
+		t.Errorf("exit %d, want 1", code)
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "quaywick-lab-*")); len(left) != 0 {
+		t.Errorf("the scratch folder is left: %v", left)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "results.jsonl")); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCapacityAgainstStubs(t *testing.T) {
+	c := program("capacity", "--rate", "200", "--length", "1s", "--links")
+	out, err := c.CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "lost 0; broken map[]") || !strings.Contains(string(out), "processor time of the lab") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
+func TestDayIsTheSameForASeed(t *testing.T) {
+	var days []string
+	for _, seed := range []string{"1", "1", "2"} {
+		out, err := program("day", "../../experiments/first.toml", "--seed", seed).Output()
+		if err != nil {
+			t.Fatal(err)
+		}
+		days = append(days, string(out))
+	}
+	if days[0] != days[1] || days[0] == days[2] || strings.Count(days[0], "\n") < 5000 || !strings.Contains(days[0], " cut n2->front-[12]\n") {
+		t.Errorf("days of %d, %d and %d bytes", len(days[0]), len(days[1]), len(days[2]))
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,215 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"deckrelay/internal/lab/labtest"
+)
+
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(labtest.Main(m, &binary)) }
+
+const tiny = `name = "tiny"
+length = "2s"
+window = "500ms"
+seeds = [3, 4]
+
+[world]
+zones = ["a", "b"]
+
+[[world.tier]]
+name = "front"
+nodes = 2
+servers = 2
+
+[[world.class]]
+name = "view"
+effect = "read_like"
+share = 1.0
+work = ["5ms"]
+aim = "1s"
+deadline = "2s"
+
+[load]
+rate = 40.0
+
+[[fault]]
+kind = "slow"
+target = "front-1"
+at = "500ms"
+for = "500ms"
+factor = 3.0
+
+[[variant]]
+name = "off"
+[[variant]]
+name = "on"
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadNamesLineAndKeyOfEachProblem(t *testing.T) {
+	for change, want := range map[[2]string]string{
+		{`length = "2s"`, `length = "0s"`}:           "x.toml:2: length: ",
+		{`nodes = 2`, `nodes = 0`}:                   "x.toml:11: world.tier[0].nodes: ",
+		{`work = ["5ms"]`, `work = []`}:              "x.toml:18: world.class[0].work: ",
+		{`rate = 40.0`, `rate = -1.0`}:               "x.toml:23: load.rate: ",
+		{`kind = "slow"`, `kind = "slwo"`}:           `x.toml:26: fault[0].kind: "slwo" is none of cra`,
+		{`"front-1"`, `"front-9"`}:                   `x.toml:27: fault[0].target: "front-9" matches nothing; there are front-1 front-2`,
+		{`name = "on"`, `name = "off"`}:              "x.toml:35: variant[1].name: ",
+		{`factor = 3.0`, `facto = 3.0`}:              "x.toml:30: fault.facto: unknown key",
+		{`rate = 40.0`, "rate = 40.0\nretries = 11"}: "x.toml:24: load.retries: ",
+	} {
+		_, err := Load(write(t, strings.Replace(tiny, change[0], change[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", change[1], err, want)
+		}
+	}
+	f, err := Load(write(t, tiny))
+	if err != nil || f.Plays() != 4 {
+		t.Errorf("the file itself: %d plays, %v", f.Plays(), err)
+	}
+}
+
+// Each seed is played by all variants with the same arrivals, each play has all its windows, and the report names what
+// was found.
+func TestRunPairsVariantsAndReports(t *testing.T) {
+	f, err := Load(write(t, tiny))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	var out bytes.Buffer
+	if err := (&Runner{File: f, Binary: binary, Out: &out}).Run(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	out.WriteString(`{"kind":"wind`) // as a crash leaves it
+	if err := os.WriteFile(filepath.Join(dir, ResultsFile), out.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Read(filepath.Join(dir, ResultsFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrived := map[uint64]map[string]int{3: {}, 4: {}}
+	for _, s := range r.Summaries {
+		arrived[s.Seed][s.Variant] = s.Arrived
+		if a := s.Account; a.Taken == 0 || a.Taken != a.Answered+a.Left+a.CutOff+a.Lost || len(s.Marks) != 2 || s.Binary == "" {
+			t.Errorf("seed %d %s: account %+v, marks %v, binary %q", s.Seed, s.Variant, a, s.Marks, s.Binary)
+		}
+	}
+	if a := arrived; a[3]["off"] == 0 || a[3]["off"] != a[3]["on"] || a[4]["off"] != a[4]["on"] || a[3]["on"] == a[4]["on"] {
+		t.Errorf("arrivals by seed and variant: %v", a)
+	}
+	if len(r.Windows) != 4*4 {
+		t.Errorf("%d windows, want 4 for each of 4 plays", len(r.Windows))
+	}
+	if err := Report(dir); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "report.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"# tiny", "Difference to `off`", "| served in time, share of the worth | on | 2 |", "slow front-1", "| kept |"} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("the report lacks %q:\n%s", want, text)
+		}
+	}
+	for _, plot := range []string{"ends-off.svg", "ends-on.svg", "latency-off.svg", "latency-on.svg"} {
+		if svg, err := os.ReadFile(filepath.Join(dir, plot)); err != nil || !bytes.Contains(svg, []byte("<svg")) {
+			t.Errorf("%s: %v", plot, err)
+		}
+	}
+}
+
+// An interrupted play is written with what it has.
+func TestInterruptedRunWritesWhatItHas(t *testing.T) {
+	f, err := Load(write(t, strings.Replace(tiny, `length = "2s"`, `length = "60s"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var out bytes.Buffer
+	r := &Runner{File: f, Binary: binary, Out: &out, Progress: func(s string) {
+		if strings.Contains(s, " ended, ") && !strings.Contains(s, " 0 ended") {
+			cancel()
+		}
+	}}
+	if err := r.Run(ctx); err == nil || ctx.Err() == nil {
+		t.Fatalf("ended with %v", err)
+	}
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	var s Summary
+	if err := json.Unmarshal(lines[len(lines)-1], &s); err != nil {
+		t.Fatal(err)
+	}
+	if !s.Interrupted || s.Arrived == 0 || s.Seconds > 30 || len(s.Broken) > 0 {
+		t.Errorf("interrupted %v after %.1f s with %d arrivals, broken %v", s.Interrupted, s.Seconds, s.Arrived, s.Broken)
+	}
+}
+
+func TestReportWithoutResults(t *testing.T) {
+	dir := t.TempDir()
+	if err := Report(dir); err == nil || !strings.Contains(err.Error(), "holds no results") {
+		t.Errorf("an empty folder: %v", err)
+	}
+	for text, want := range map[string]string{"": "no play has ended", "{\n{}\n": ResultsFile + ":1"} {
+		if err := os.WriteFile(filepath.Join(dir, ResultsFile), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := Report(dir); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+// The bootstrap interval covers a known mean about as often as it says, and the sign test has its textbook values.
+func TestCompare(t *testing.T) {
+	if d := compare([]float64{1, 2, 3, 4, 5}, []float64{2, 3, 4, 5, 6}); d.Mean != 1 || d.Low != 1 || d.High != 1 || math.Abs(d.Sign-0.0625) > 1e-9 {
+		t.Errorf("always 1 more: %+v", d)
+	}
+	if d := compare([]float64{1, 2}, []float64{1, 2}); d.Mean != 0 || d.Sign != 1 {
+		t.Errorf("no difference: %+v", d)
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	covered := 0
+	const trials = 100
+	for range trials {
+		a, b := make([]float64, 20), make([]float64, 20)
+		for i := range a {
+			b[i] = 0.5 + r.NormFloat64()
+		}
+		if d := compare(a, b); d.Low <= 0.5 && 0.5 <= d.High {
+			covered++
+		}
+	}
+	if covered < 85 || covered > 99 {
+		t.Errorf("covered the mean in %d of %d", covered, trials)
+	}
+}
+
+func TestMedianWorst(t *testing.T) {
+	if m, w := medianWorst([]float64{4, 1, 3, 2}, true); m != 2.5 || w != 1 {
+		t.Errorf("median %v, worst %v", m, w)
+	}
+	if m, w := medianWorst([]float64{4, 1, 3}, false); m != 3 || w != 4 {
+		t.Errorf("median %v, worst %v", m, w)
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/file.go
@@ -0,0 +1,116 @@
+// Package experiment plays experiments in the lab: one file describes the world, the load, the schedule of faults, the
+// variants to compare and the seeds. Variants are paired by seed: each seed's day is the same for all.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"deckrelay/internal/lab"
+	"deckrelay/internal/tomlfile"
+)
+
+// File is an experiment.
+type File struct {
+	Name     string        `toml:"name"`
+	About    string        `toml:"about"`
+	Length   time.Duration `toml:"length"`
+	Window   time.Duration `toml:"window"` // default 1 s
+	Seeds    []uint64      `toml:"seeds"`  // default 1
+	Repeat   int           `toml:"repeat"` // plays of each seed; default 1
+	World    lab.World     `toml:"world"`
+	Load     lab.Load      `toml:"load"`
+	Faults   []lab.Fault   `toml:"fault"`
+	Variants []Variant     `toml:"variant"` // default: one, named "base"
+}
+
+// Variant is a way to run the nodes. The first one is what the others are compared with.
+type Variant struct {
+	Name   string   `toml:"name"`
+	Binary string   `toml:"binary"` // default: the one given to the tool
+	Args   []string `toml:"args"`
+	Env    []string `toml:"env"` // NAME=value
+}
+
+const (
+	mostLength = 2 * time.Hour
+	mostPlays  = 1000
+)
+
+// Load reads and checks an experiment. The error joins one tomlfile.Problem for each thing found wrong.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{}
+	if err := tomlfile.Decode(path, text, f); err != nil {
+		return nil, err
+	}
+	var all []error
+	bad := func(err error, under string) {
+		var key *lab.KeyError
+		if errors.As(err, &key) {
+			all = append(all, tomlfile.At(path, text, under+key.Key, key.Why))
+		} else if err != nil {
+			all = append(all, tomlfile.Problem{File: path, Why: err.Error()})
+		}
+	}
+	for _, err := range f.check() {
+		bad(err, "")
+	}
+	f.World.Links = append(f.World.Links, lab.FaultLinks(f.Faults)...)
+	if err := f.World.Fill(); err != nil {
+		bad(err, "world.")
+	} else {
+		bad(f.Load.Fill(&f.World), "")
+		for i := range f.Faults {
+			bad(f.Faults[i].Check(&f.World, fmt.Sprintf("fault[%d].", i)), "")
+		}
+	}
+	return f, errors.Join(all...)
+}
+
+// check sets the defaults of the file's own keys and returns what is wrong with them.
+func (f *File) check() (all []error) {
+	bad := func(key, format string, args ...any) {
+		all = append(all, &lab.KeyError{Key: key, Why: fmt.Sprintf(format, args...)})
+	}
+	if f.Name == "" {
+		bad("name", "is empty")
+	}
+	if f.Length <= 0 || f.Length > mostLength {
+		bad("length", "must be above 0 and at most %v", mostLength)
+	}
+	if f.Window == 0 {
+		f.Window = time.Second
+	}
+	if f.Window < 100*time.Millisecond || f.Window > max(f.Length, time.Second) {
+		bad("window", "must be from 100 ms to the length")
+	}
+	if len(f.Seeds) == 0 {
+		f.Seeds = []uint64{1}
+	}
+	if f.Repeat == 0 {
+		f.Repeat = 1
+	}
+	if len(f.Variants) == 0 {
+		f.Variants = []Variant{{Name: "base"}}
+	}
+	if n := len(f.Seeds) * f.Repeat * len(f.Variants); f.Repeat < 0 || n > mostPlays {
+		bad("repeat", "%d plays, at most %d", n, mostPlays)
+	}
+	seen := map[string]bool{}
+	for i, v := range f.Variants {
+		if v.Name == "" || seen[v.Name] {
+			bad(fmt.Sprintf("variant[%d].name", i), "%q is empty or taken", v.Name)
+		}
+		seen[v.Name] = true
+	}
+	return all
+}
+
+// Plays is how many plays the experiment has.
+func (f *File) Plays() int { return len(f.Seeds) * f.Repeat * len(f.Variants) }
--- /dev/null
+++ b/internal/lab/experiment/play.go
@@ -0,0 +1,345 @@
+package experiment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"deckrelay/internal/lab"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Key says which play a line of the results belongs to.
+type Key struct {
+	Experiment string `json:"experiment"`
+	Variant    string `json:"variant"`
+	Seed       uint64 `json:"seed"`
+	Repeat     int    `json:"repeat"`
+	Binary     string `json:"binary"` // first 12 digits of its SHA-256
+}
+
+// Window is what happened to the arrivals that were drawn in one window, and what the nodes took meanwhile.
+type Window struct {
+	Kind string `json:"kind"` // "window"
+	Key
+	From      float64        `json:"from"` // seconds since the load began
+	To        float64        `json:"to"`
+	Void      bool           `json:"void,omitempty"` // the lab was too late: proves nothing
+	Lateness  float64        `json:"lateness_ms"`
+	Arrived   int            `json:"arrived"`
+	Ends      map[string]int `json:"ends"`
+	Worth     float64        `json:"worth"`  // asked for
+	Earned    float64        `json:"earned"` // of it, served within the aim
+	P50       float64        `json:"p50_ms"` // of what was served, from the drawn arrival
+	P99       float64        `json:"p99_ms"`
+	Attempts  int64          `json:"attempts"` // that reached servers, at all tiers
+	Crossed   int64          `json:"crossed"`  // of them, between zones
+	CPU       float64        `json:"cpu"`      // cores, all nodes together
+	MostCPU   float64        `json:"most_cpu"` // cores, the busiest node
+	MostRSS   float64        `json:"most_rss_mb"`
+	MostFiles int            `json:"most_files"`
+}
+
+// Summary is one play as a whole.
+type Summary struct {
+	Kind string `json:"kind"` // "summary"
+	Key
+	Seconds     float64          `json:"seconds"`
+	Interrupted bool             `json:"interrupted,omitempty"`
+	VoidWindows int              `json:"void_windows"`
+	Arrived     int              `json:"arrived"`
+	Ends        map[string]int   `json:"ends"`
+	Served      float64          `json:"served"` // share of the worth asked for, outside void windows
+	Worst       float64          `json:"worst"`  // the same in the worst window
+	P50         float64          `json:"p50_ms"`
+	P90         float64          `json:"p90_ms"`
+	P99         float64          `json:"p99_ms"`
+	P999        float64          `json:"p999_ms"`
+	Attempts    int64            `json:"attempts"`
+	Crossed     int64            `json:"crossed"`
+	Uneven      float64          `json:"uneven"` // answers of the busiest server over the mean, first tier
+	CPU         float64          `json:"cpu"`
+	MostRSS     float64          `json:"most_rss_mb"`
+	MostFiles   int              `json:"most_files"`
+	Account     lab.Account      `json:"account"`
+	Broken      map[lab.Rule]int `json:"broken"`
+	Marks       []Mark           `json:"marks"`
+	Found       []lab.Finding    `json:"found,omitempty"` // the first ones
+}
+
+// Mark is a step of the schedule as it was carried out.
+type Mark struct {
+	At   float64 `json:"at"`
+	What string  `json:"what"`
+}
+
+const (
+	mostFound  = 20
+	mostMarks  = 500
+	mostMillis = 120_000
+)
+
+// Runner plays an experiment.
+type Runner struct {
+	File     *File
+	Binary   string
+	Out      io.Writer           // gets the results as JSON lines
+	Progress func(string)        // hears how far it is, often
+	Done     func(Key, *Summary) // hears of each play that ended
+
+	mu sync.Mutex
+}
+
+// Run plays all variants and seeds. An interrupted play is written with what it has; the error is then ctx's.
+func (r *Runner) Run(ctx context.Context) error {
+	play := 0
+	for _, seed := range r.File.Seeds {
+		for rep := range r.File.Repeat {
+			for i := range r.File.Variants {
+				v := r.File.Variants[(i+rep+play)%len(r.File.Variants)] // no variant is always the first
+				s, err := r.play(ctx, v, seed, rep)
+				if s != nil && r.Done != nil {
+					r.Done(s.Key, s)
+				}
+				if err != nil {
+					return fmt.Errorf("variant %s, seed %d: %w", v.Name, seed, err)
+				}
+			}
+			play++
+		}
+	}
+	return nil
+}
+
+func (r *Runner) write(line any) error {
+	text, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, err = r.Out.Write(append(text, '\n'))
+	return err
+}
+
+func digest(path string) (string, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(h.Sum(nil))[:12], nil
+}
+
+// book gathers a play's windows.
+type book struct {
+	mu      sync.Mutex
+	windows []Window
+	hists   []*hdrhistogram.Histogram
+	whole   *hdrhistogram.Histogram
+	marks   []Mark
+	ended   int
+}
+
+func newBook(f *File, key Key) *book {
+	b := &book{whole: hdrhistogram.New(1, mostMillis*1000, 3)}
+	for at := time.Duration(0); at < f.Length; at += f.Window {
+		b.windows = append(b.windows, Window{Kind: "window", Key: key, From: at.Seconds(), To: min(at+f.Window, f.Length).Seconds(), Ends: map[string]int{}})
+		b.hists = append(b.hists, hdrhistogram.New(1, mostMillis*1000, 3))
+	}
+	return b
+}
+
+// add books what became of an arrival in the window of its drawn time.
+func (b *book) add(f *File, s lab.Served) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := min(int(s.Arrival.At/f.Window), len(b.windows)-1)
+	w := &b.windows[i]
+	w.Arrived++
+	w.Ends[s.End]++
+	w.Worth += s.Worth
+	w.Lateness = max(w.Lateness, float64(s.Late)/1e6)
+	b.ended++
+	if s.End == "served" {
+		w.Earned += s.Worth
+	}
+	if s.End == "served" || s.End == "late" {
+		us := min(max(s.Latency.Microseconds(), 1), mostMillis*1000)
+		b.hists[i].RecordValue(us) // in range
+		b.whole.RecordValue(us)
+	}
+	if s.End == "unsent" {
+		w.Void = true
+	}
+}
+
+func (b *book) mark(at time.Duration, what string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.marks) < mostMarks {
+		b.marks = append(b.marks, Mark{at.Seconds(), what})
+	}
+}
+
+func (r *Runner) play(ctx context.Context, v Variant, seed uint64, rep int) (*Summary, error) {
+	f := r.File
+	w := f.World
+	w.Seed, w.Args, w.Env = seed, v.Args, v.Env
+	w.Binary = r.Binary
+	if v.Binary != "" {
+		w.Binary = v.Binary
+	}
+	path, err := filepath.Abs(w.Binary) // nodes run in folders of their own
+	if err != nil {
+		return nil, err
+	}
+	w.Binary = path
+	hash, err := digest(path)
+	if err != nil {
+		return nil, err
+	}
+	key := Key{Experiment: f.Name, Variant: v.Name, Seed: seed, Repeat: rep, Binary: hash}
+	steps, err := lab.Schedule(&w, f.Faults, seed)
+	if err != nil {
+		return nil, err
+	}
+	day := lab.Draw(&w, &f.Load, f.Length, seed)
+	r.progress("%s seed %d: starting", v.Name, seed)
+	l, err := lab.Open(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	b := newBook(f, key)
+	began := l.Now()
+	playing, stop := context.WithCancel(ctx)
+	var side sync.WaitGroup
+	side.Add(2)
+	go func() {
+		defer side.Done()
+		l.Play(playing, steps, b.mark)
+	}()
+	go func() {
+		defer side.Done()
+		r.sample(playing, l, b, began, v.Name)
+	}()
+	l.Drive(ctx, &f.Load, day, func(s lab.Served) { b.add(f, s) })
+	took := l.Now() - began
+	stop()
+	side.Wait()
+	s := b.summary(f, key, l, began)
+	s.Seconds, s.Interrupted = took.Seconds(), ctx.Err() != nil
+	for _, w := range b.windows {
+		if err := r.write(w); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.write(s); err != nil {
+		return nil, err
+	}
+	return s, ctx.Err()
+}
+
+func (r *Runner) progress(format string, args ...any) {
+	if r.Progress != nil {
+		r.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+// sample reads at each window's end what the nodes took of the machine in it.
+func (r *Runner) sample(ctx context.Context, l *lab.Lab, b *book, began time.Duration, variant string) {
+	tick := time.NewTicker(r.File.Window)
+	defer tick.Stop()
+	before := map[*lab.Node]lab.Usage{}
+	for _, n := range l.Nodes() {
+		before[n] = n.Usage()
+	}
+	attempts, crossed := l.Attempts()
+	for i := 0; i < len(b.windows); i++ {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		var all, most time.Duration
+		var rss int64
+		files := 0
+		for _, n := range l.Nodes() {
+			u := n.Usage()
+			spent := u.CPU - before[n].CPU
+			before[n] = u
+			all += spent
+			most, rss, files = max(most, spent), max(rss, u.RSS), max(files, u.Files)
+		}
+		a, c := l.Attempts()
+		b.mu.Lock()
+		w := &b.windows[i]
+		w.CPU, w.MostCPU = all.Seconds()/r.File.Window.Seconds(), most.Seconds()/r.File.Window.Seconds()
+		w.MostRSS, w.MostFiles = float64(rss)/(1<<20), files
+		w.Attempts, w.Crossed = a-attempts, c-crossed
+		attempts, crossed = a, c
+		ended, served := b.ended, w.Ends["served"]
+		b.mu.Unlock()
+		r.progress("%s: %3.0f of %.0f s, %d ended, %d served in the last window", variant, (l.Now() - began).Seconds(),
+			r.File.Length.Seconds(), ended, served)
+	}
+	<-ctx.Done()
+}
+
+// summary closes the windows and sums them up.
+func (b *book) summary(f *File, key Key, l *lab.Lab, began time.Duration) *Summary {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := &Summary{Kind: "summary", Key: key, Ends: map[string]int{}, Worst: 1, Account: l.Referee().Account(), Marks: b.marks}
+	var worth, earned float64
+	for i := range b.windows {
+		w := &b.windows[i]
+		from, to := began+time.Duration(w.From*1e9), began+time.Duration(w.To*1e9)
+		w.Lateness = max(w.Lateness, float64(l.Lateness(from, to))/1e6)
+		w.Void = w.Void || l.Void(from, to)
+		w.P50, w.P99 = quantile(b.hists[i], 50), quantile(b.hists[i], 99)
+		s.Arrived += w.Arrived
+		for end, n := range w.Ends {
+			s.Ends[end] += n
+		}
+		s.Attempts += w.Attempts
+		s.Crossed += w.Crossed
+		s.CPU += w.CPU / float64(len(b.windows))
+		s.MostRSS, s.MostFiles = max(s.MostRSS, w.MostRSS), max(s.MostFiles, w.MostFiles)
+		if w.Void {
+			s.VoidWindows++
+			continue
+		}
+		worth += w.Worth
+		earned += w.Earned
+		if w.Worth > 0 {
+			s.Worst = min(s.Worst, w.Earned/w.Worth)
+		}
+	}
+	if worth > 0 {
+		s.Served = earned / worth
+	}
+	s.P50, s.P90, s.P99, s.P999 = quantile(b.whole, 50), quantile(b.whole, 90), quantile(b.whole, 99), quantile(b.whole, 99.9)
+	s.Uneven = l.Uneven()
+	s.Found, s.Broken = l.Findings()
+	s.Found = slices.Clip(s.Found[:min(mostFound, len(s.Found))])
+	return s
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/internal/lab/experiment/report.go
@@ -0,0 +1,308 @@
+package experiment
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"image/color"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// ResultsFile is the name of the results within a folder of them.
+const ResultsFile = "results.jsonl"
+
+// Results are the lines of one results file.
+type Results struct {
+	Windows   []Window
+	Summaries []Summary
+}
+
+const mostLine = 4 << 20
+
+// Read reads a results file. A last line that was cut off is passed over; any other unreadable line is an error that
+// names it.
+func Read(path string) (*Results, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r := &Results{}
+	in := bufio.NewScanner(f)
+	in.Buffer(nil, mostLine)
+	var failed error
+	for n := 1; in.Scan(); n++ {
+		if failed != nil {
+			return nil, failed
+		}
+		var kind struct{ Kind string }
+		if err := json.Unmarshal(in.Bytes(), &kind); err != nil {
+			failed = fmt.Errorf("%s:%d: %w", path, n, err)
+			continue
+		}
+		switch kind.Kind {
+		case "window":
+			var w Window
+			failed = json.Unmarshal(in.Bytes(), &w)
+			r.Windows = append(r.Windows, w)
+		case "summary":
+			var s Summary
+			failed = json.Unmarshal(in.Bytes(), &s)
+			r.Summaries = append(r.Summaries, s)
+		}
+	}
+	if err := in.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(r.Summaries) == 0 {
+		return nil, fmt.Errorf("%s: no play has ended", path)
+	}
+	return r, nil
+}
+
+// figure is one row of the report.
+type figure struct {
+	name   string
+	format string
+	low    bool // the lowest is the worst
+	of     func(*Summary) float64
+}
+
+func share(s *Summary, end string) float64 {
+	if s.Arrived == 0 {
+		return 0
+	}
+	return float64(s.Ends[end]) / float64(s.Arrived)
+}
+
+var figures = []figure{
+	{"served in time, share of the worth", "%.4f", true, func(s *Summary) float64 { return s.Served }},
+	{"the same in the worst window", "%.3f", true, func(s *Summary) float64 { return s.Worst }},
+	{"late", "%.4f", false, func(s *Summary) float64 { return share(s, "late") }},
+	{"refused", "%.4f", false, func(s *Summary) float64 { return share(s, "refused") }},
+	{"failed", "%.4f", false, func(s *Summary) float64 { return share(s, "failed") + share(s, "unreached") }},
+	{"median latency, ms", "%.1f", false, func(s *Summary) float64 { return s.P50 }},
+	{"99th percentile, ms", "%.0f", false, func(s *Summary) float64 { return s.P99 }},
+	{"99.9th percentile, ms", "%.0f", false, func(s *Summary) float64 { return s.P999 }},
+	{"attempts for each arrival", "%.3f", false, func(s *Summary) float64 { return float64(s.Attempts) / float64(max(1, s.Arrived)) }},
+	{"of them between zones", "%.4f", false, func(s *Summary) float64 { return float64(s.Crossed) / float64(max(1, s.Attempts)) }},
+	{"calls a server, most over mean", "%.2f", false, func(s *Summary) float64 { return s.Uneven }},
+	{"processor, all nodes, cores", "%.3f", false, func(s *Summary) float64 { return s.CPU }},
+	{"memory, largest node, MB", "%.1f", false, func(s *Summary) float64 { return s.MostRSS }},
+	{"descriptors, most of a node", "%.0f", false, func(s *Summary) float64 { return float64(s.MostFiles) }},
+}
+
+// variants returns the summaries by variant, in order of appearance.
+func (r *Results) variants() (names []string, by map[string][]*Summary) {
+	by = map[string][]*Summary{}
+	for i := range r.Summaries {
+		s := &r.Summaries[i]
+		if by[s.Variant] == nil {
+			names = append(names, s.Variant)
+		}
+		by[s.Variant] = append(by[s.Variant], s)
+	}
+	return names, by
+}
+
+// Report writes report.md and its plots into the folder that holds the results.
+func Report(dir string) error {
+	r, err := Read(filepath.Join(dir, ResultsFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%s holds no results: %w", dir, err)
+	}
+	if err != nil {
+		return err
+	}
+	names, by := r.variants()
+	sort.Strings(names)
+	for i, n := range names { // the first to be compared with is the one that the file names first; "off" or "base" else
+		if n == "off" || n == "base" || n == "before" {
+			names[0], names[i] = names[i], names[0]
+		}
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s\n\n", r.Summaries[0].Experiment)
+	for _, n := range names {
+		var seeds []string
+		for _, s := range by[n] {
+			seeds = append(seeds, fmt.Sprint(s.Seed))
+		}
+		fmt.Fprintf(&b, "- `%s`: binary %s, seeds %s\n", n, by[n][0].Binary, strings.Join(seeds, " "))
+	}
+	b.WriteString("\n## Rules and accounts\n\n")
+	table(&b, []string{"variant", "seed", "arrived", "taken", "answered", "left", "cut off", "lost", "void windows", "rules"}, func(row func(...any)) {
+		for _, n := range names {
+			for _, s := range by[n] {
+				a := s.Account
+				row(n, s.Seed, s.Arrived, a.Taken, a.Answered, a.Left, a.CutOff, a.Lost, s.VoidWindows, broken(s))
+			}
+		}
+	})
+	b.WriteString("\n## Figures, median and worst over plays\n\n")
+	table(&b, append([]string{"figure"}, names...), func(row func(...any)) {
+		for _, f := range figures {
+			cells := []any{f.name}
+			for _, n := range names {
+				median, worst := medianWorst(values(by[n], f), f.low)
+				cells = append(cells, fmt.Sprintf(f.format+" / "+f.format, median, worst))
+			}
+			row(cells...)
+		}
+	})
+	if len(names) > 1 {
+		fmt.Fprintf(&b, "\n## Difference to `%s`, paired by seed\n\nMean of the differences with its 95%% bootstrap interval, and the sign test's p.\n\n", names[0])
+		table(&b, []string{"figure", "variant", "pairs", "difference", "from", "to", "p"}, func(row func(...any)) {
+			for _, f := range figures {
+				for _, n := range names[1:] {
+					d := compare(paired(by[names[0]], by[n], f))
+					row(f.name, n, d.Pairs, fmt.Sprintf(f.format, d.Mean), fmt.Sprintf(f.format, d.Low), fmt.Sprintf(f.format, d.High), fmt.Sprintf("%.3f", d.Sign))
+				}
+			}
+		})
+	}
+	for _, n := range names {
+		fmt.Fprintf(&b, "\n## `%s` over time\n\nMeans over the plays; grey lines are the steps of the first play's schedule.\n\n", n)
+		for what, draw := range map[string]func(*plot.Plot, string) error{"ends": r.plotEnds, "latency": r.plotLatency} {
+			name := fmt.Sprintf("%s-%s.svg", what, n)
+			if err := r.save(filepath.Join(dir, name), n, by[n][0].Marks, draw); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(&b, "![ends over time](ends-%s.svg)\n\n![latency over time](latency-%s.svg)\n\n", n, n)
+		table(&b, []string{"at", "step"}, func(row func(...any)) {
+			for _, m := range by[n][0].Marks {
+				row(fmt.Sprintf("%.2f s", m.At), m.What)
+			}
+		})
+	}
+	return os.WriteFile(filepath.Join(dir, "report.md"), []byte(b.String()), 0o644)
+}
+
+func broken(s *Summary) string {
+	if len(s.Broken) == 0 {
+		return "kept"
+	}
+	var all []string
+	for rule, n := range s.Broken {
+		all = append(all, fmt.Sprintf("%s %d", rule, n))
+	}
+	sort.Strings(all)
+	return strings.Join(all, ", ")
+}
+
+func table(b *strings.Builder, head []string, rows func(row func(...any))) {
+	fmt.Fprintf(b, "| %s |\n|%s\n", strings.Join(head, " | "), strings.Repeat(" --- |", len(head)))
+	rows(func(cells ...any) {
+		for _, c := range cells {
+			fmt.Fprintf(b, "| %s ", strings.ReplaceAll(fmt.Sprint(c), "|", "\\|"))
+		}
+		b.WriteString("|\n")
+	})
+}
+
+func values(s []*Summary, f figure) (x []float64) {
+	for _, one := range s {
+		x = append(x, f.of(one))
+	}
+	return x
+}
+
+// paired returns a figure of the plays that both variants have, by seed and repeat.
+func paired(a, b []*Summary, f figure) (x, y []float64) {
+	type play struct {
+		seed uint64
+		rep  int
+	}
+	first := map[play]*Summary{}
+	for _, s := range a {
+		first[play{s.Seed, s.Repeat}] = s
+	}
+	for _, s := range b {
+		if p := first[play{s.Seed, s.Repeat}]; p != nil {
+			x, y = append(x, f.of(p)), append(y, f.of(s))
+		}
+	}
+	return x, y
+}
+
+var colours = []color.Color{color.RGBA{0x2c, 0x7f, 0x4a, 255}, color.RGBA{0xd9, 0x8b, 0x1f, 255}, color.RGBA{0xc0, 0x39, 0x2b, 255},
+	color.RGBA{0x5b, 0x5b, 0x9e, 255}, color.RGBA{0x7a, 0x7a, 0x7a, 255}}
+
+// line adds a figure of a variant's windows, as a mean over its plays, to a plot.
+func (r *Results) line(p *plot.Plot, variant, name string, n int, of func(Window) (v float64, ok bool)) error {
+	sums, counts := map[float64]float64{}, map[float64]int{}
+	for _, w := range r.Windows {
+		if v, ok := of(w); ok && w.Variant == variant && !w.Void {
+			sums[w.From] += v
+			counts[w.From]++
+		}
+	}
+	var xy plotter.XYs
+	for at, sum := range sums {
+		xy = append(xy, plotter.XY{X: at, Y: sum / float64(counts[at])})
+	}
+	if len(xy) == 0 {
+		return nil
+	}
+	sort.Slice(xy, func(i, j int) bool { return xy[i].X < xy[j].X })
+	l, err := plotter.NewLine(xy)
+	if err != nil {
+		return err
+	}
+	l.Color, l.Width = colours[n%len(colours)], vg.Points(1.4)
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+func (r *Results) plotEnds(p *plot.Plot, variant string) error {
+	p.Y.Label.Text = "arrivals a second"
+	for i, ends := range [][]string{{"served"}, {"refused"}, {"failed", "unreached"}, {"late"}, {"left", "unsent"}} {
+		if err := r.line(p, variant, ends[0], i, func(w Window) (v float64, ok bool) {
+			for _, e := range ends {
+				v += float64(w.Ends[e])
+			}
+			return v / (w.To - w.From), true
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Results) plotLatency(p *plot.Plot, variant string) error {
+	p.Y.Label.Text = "latency, ms"
+	if err := r.line(p, variant, "median", 0, func(w Window) (float64, bool) { return w.P50, w.P50 > 0 }); err != nil {
+		return err
+	}
+	return r.line(p, variant, "99th percentile", 2, func(w Window) (float64, bool) { return w.P99, w.P99 > 0 })
+}
+
+func (r *Results) save(path, variant string, marks []Mark, draw func(*plot.Plot, string) error) error {
+	p := plot.New()
+	p.X.Label.Text = "seconds"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	if err := draw(p, variant); err != nil {
+		return err
+	}
+	for _, m := range marks {
+		l, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: 0}, {X: m.At, Y: p.Y.Max}})
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = color.Gray{0xb0}, vg.Points(0.6)
+		p.Add(l)
+	}
+	return p.Save(24*vg.Centimeter, 9*vg.Centimeter, path)
+}
