--- a/internal/lab/experiment/report.go
+++ b/internal/lab/experiment/report.go
@@ -296,6 +296,8 @@
 	if err := draw(p, variant); err != nil {
 		return err
 	}
+	p.Y.Max *= 1.05
+	p.X.Max *= 1.15 // room for the legend
 	for _, m := range marks {
 		l, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: 0}, {X: m.At, Y: p.Y.Max}})
 		if err != nil {
--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -25,6 +25,7 @@
 //	hang      a server takes requests and answers none
 //	silent    a server says nothing at all, as a vanished machine
 //	drain     discovery lists a server as draining, and For later it is gone
+//	replace   the same, and a new process starts in its place, cold; listed once its node is ready
 //	zone      all servers of a zone are silent and, where Nodes is set, its nodes stopped; discovery drops them Late
 //	          after; at the end they come back cold
 //
@@ -63,8 +64,9 @@
 	"kill": {nodes: true}, "term": {nodes: true}, "stop": {nodes: true, lasts: true},
 	"crash": {servers: true}, "slow": {servers: true, lasts: true}, "errors": {servers: true, lasts: true},
 	"hang": {servers: true, lasts: true}, "silent": {servers: true, lasts: true}, "drain": {servers: true, lasts: true},
-	"zone": {zones: true, lasts: true},
-	"cut":  {link: true, lasts: true}, "split": {link: true, lasts: true}, "link": {link: true, lasts: true}, "reset": {link: true},
+	"replace": {servers: true, lasts: true},
+	"zone":    {zones: true, lasts: true},
+	"cut":     {link: true, lasts: true}, "split": {link: true, lasts: true}, "link": {link: true, lasts: true}, "reset": {link: true},
 	"disc_down": {lasts: true}, "disc_fail": {lasts: true}, "disc_slow": {lasts: true},
 }
 
@@ -286,6 +288,13 @@
 		server.silence(!s.Ends)
 	case "drain":
 		l.Drain(server, f.For)
+	case "replace":
+		if !s.Ends {
+			l.Drain(server, 0)
+			return nil
+		}
+		server.crash()
+		return l.revive(ctx, server)
 	case "zone":
 		return l.zone(ctx, s)
 	case "cut", "split", "link":
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -376,7 +376,7 @@
 	}
 	s.mu.Lock()
 	s.down, s.silent, s.choked, s.recent = false, false, false, nil
-	s.born = s.lab.now()
+	s.born, s.health = s.lab.now(), "in_service"
 	s.mu.Unlock()
 	s.reachable()
 	s.lab.spans.end(s.name, s.lab.now())
