Membership: SWIM by memberlist with our frames, identity, conflicts, rosters and sides

Need: every shared limit, verdict and zone decision to come needs one answer to "who is in the fleet, and am I on the right side of a split?"

Design: the detector is memberlist with a transport of ours: frames with version, fleet, process, sequence and check, peers dialled at this process's own address for them, bounded queues, rate and descriptors. Each process is a member of its own there (NAME~PROCESS); a name's member is its live process with the highest incarnation. So a restart under the same name and address needs no wait for the old one's burial, two processes of one name are seen by all, and an upgrade is a hand-over of the address. Sides come from a council: a sticky leader, votes that bind for 2 s, grants measured from the earlier of two clock readings, roster changes that need the old and the new majority. Rejected: the living counted against the last roster by each process alone; while a split of 3/5 is being found out the three still see a majority, and both sides claim it. Rejected: a vote counted for one that has left; its next process may vote on the other side. Those that leave vote until the roster is without them instead.

Wrong guesses on the way: memberlist's Node.State does not show suspects, so a test that waited for one failed; its log line for an unanswered probe is used, and the test holds it to its words.

--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,640 @@
+// Package mesh tells a process who else is in its fleet, who is gone, and on which side of a split it is itself. Failure
+// detection and dissemination are SWIM (Das, Gupta and Motivala, 2002) with Lifeguard (Dadgar, Phillips and Currey,
+// 2017), by hashicorp/memberlist; identity, conflicts, flap control, rosters and sides are this package's.
+package mesh
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
+)
+
+// State is what a member is to the others.
+type State int
+
+// States of a member.
+const (
+	Joining  State = iota // its process runs and does not serve yet
+	Alive                 // serves
+	Suspect               // has not answered this process's probe, and can still refute that
+	Gone                  // did not refute it in time
+	Left                  // said that it leaves
+	Conflict              // two live processes claim its name
+)
+
+func (s State) String() string {
+	return [...]string{"joining", "alive", "suspect", "gone", "left", "conflict"}[s]
+}
+
+// MarshalText makes a state readable in JSON.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// MarshalText makes a side readable in JSON.
+func (s Side) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Member is one member as this process sees it.
+type Member struct {
+	Name        string        `json:"name"`
+	State       State         `json:"state"`
+	Zone        string        `json:"zone"`
+	Region      string        `json:"region"`
+	Tier        int           `json:"tier"`
+	Incarnation uint64        `json:"incarnation"`
+	Version     string        `json:"version,omitempty"`
+	Config      string        `json:"config,omitempty"` // digest of its configuration
+	Address     string        `json:"address"`
+	Age         time.Duration `json:"age_ns"`         // of the state, when the view was taken
+	Held        bool          `json:"held,omitempty"` // comes and goes too often: not counted on for now
+
+	since time.Duration
+}
+
+// Lives says that a process of the member takes part.
+func (m Member) Lives() bool { return m.State != Gone && m.State != Left }
+
+// View is what a process believes of its fleet at one moment. Members are sorted by name. Digest is the same in all
+// processes that see the same living members in the same epoch.
+type View struct {
+	Epoch   Epoch
+	Side    Side
+	Under   uint64 // the leading process that has proved a majority
+	Members []Member
+	Digest  uint64
+	Roster  int  // members that the side is computed against
+	Settled bool // no change of the roster is under way
+
+	until time.Duration // of the side's proof, by the mesh's clock
+}
+
+// Config says who this process is and where it meets others.
+type Config struct {
+	Fleet, Name, Zone, Region string
+	Tier                      int
+	Version, Digest           string
+	Listen                    string
+	Seeds                     []string // NAME=ADDRESS
+	Dial                      map[string]string
+	Probe                     time.Duration
+	Log                       *slog.Logger
+	Changed                   func(View) // is told of each new view by the mesh's goroutine; must not block; may be nil
+}
+
+// Bounds and times.
+const (
+	tickEvery    = 100 * time.Millisecond
+	mailQueue    = 256 // messages and events that wait for the mesh's goroutine
+	eventQueue   = 4096
+	mostEnded    = 2048             // processes that have ended, and are remembered
+	endedFor     = 10 * time.Minute // how long
+	retryAddress = 200 * time.Millisecond
+	joinMin      = 300 * time.Millisecond // between attempts to find lost members, jittered
+	joinMost     = 3 * time.Second
+	conflictFor  = 5 * time.Second // two processes of one name live so long before the older steps out
+	stepOut      = 30 * time.Second
+	leaveWithin  = 800 * time.Millisecond // for the roster to be without us
+	flapHalf     = time.Minute            // half-life of a member's penalty
+	flapHold     = 2.5                    // penalty from which it is held down: the third return in short order
+	flapBase     = 5 * time.Second
+	flapMost     = time.Minute
+	logRate      = 20 // member lines a second
+)
+
+// phases of a process, as its meta data has them.
+const (
+	phaseJoining = "j"
+	phaseAlive   = "a"
+	phaseLeaving = "l"
+)
+
+// meta is what a process tells of itself.
+type meta struct {
+	Incarnation uint64 `json:"i"`
+	Phase       string `json:"p"`
+	Zone        string `json:"z"`
+	Region      string `json:"r"`
+	Tier        int    `json:"t"`
+	Version     string `json:"v"`
+	Digest      string `json:"d"`
+}
+
+// process is one process of a member.
+type process struct {
+	member, name string // with and without the process
+	meta         meta
+	addr         string
+	state        State // Alive, Suspect, Gone or Left
+	since        time.Duration
+}
+
+// Mesh is this process's part in the fleet.
+type Mesh struct {
+	cfg     Config
+	log     *slog.Logger
+	began   time.Time
+	process uint64
+	drops   Drops
+	lines   *rate.Limiter
+
+	view     atomic.Pointer[View]
+	counters atomic.Pointer[Counters]
+	disagree atomic.Pointer[[]Disagreement]
+
+	events  chan processEvent
+	mail    chan message
+	states  chan map[string]uint64
+	missed  atomic.Bool // events were dropped
+	asks    chan func()
+	done    chan struct{}
+	ended   chan struct{}
+	closing sync.Once
+
+	// The rest is of the mesh's goroutine, but for mine.
+	ml         *memberlist.Memberlist
+	transport  *transport
+	council    *council
+	processes  map[string]*process // by member
+	shown      map[string]Member   // by name, as of the last view
+	dirty      bool                // what the view is made of has changed
+	nextView   time.Duration
+	live, left map[string]bool               // by name, as the council sees them
+	nodes      map[string][]*memberlist.Node // live processes by name, as of the last tick
+	penalties  map[string]*penalty
+	highest    map[string]uint64 // incarnations of names, from others' memory
+	joining    chan struct{}     // holds a token while nobody is joining
+	nextJoin   time.Duration
+	joinWait   time.Duration
+	conflictAt time.Duration // since when an elder of our own name lives; 0: none
+	outUntil   time.Duration // stepped out until then; 0: not
+	differs    map[string]time.Duration
+	retired    struct{ packets, bytes int64 } // of transports that were shut
+	silenced   int
+
+	mu         sync.Mutex
+	mine       meta
+	unanswered map[string]bool // processes whose last probe by this one got no answer
+}
+
+type processEvent struct {
+	node memberlist.Node
+	live bool
+}
+
+type penalty struct {
+	points float64
+	at     time.Duration
+	until  time.Duration
+}
+
+// Counters are the mesh's figures since its start.
+type Counters struct {
+	States     map[string]int   `json:"states"`
+	PacketsOut int64            `json:"packets_out"`
+	BytesOut   int64            `json:"bytes_out"`
+	Dropped    map[string]int64 `json:"dropped"`
+	Health     int              `json:"health"` // Lifeguard's score of this process; 0 is well
+}
+
+// Disagreement is a member whose view has another digest than ours.
+type Disagreement struct {
+	With  string        `json:"with"`
+	About []string      `json:"about"` // members that one of us misses, as far as both have said
+	For   time.Duration `json:"for_ns"`
+}
+
+// Start joins the fleet in the background. It fails only where the address can never be had; one that another process
+// holds is waited for, as in an upgrade.
+func Start(cfg Config) (*Mesh, error) {
+	if cfg.Name == "" || cfg.Fleet == "" || strings.Contains(cfg.Name, nameSeparator) {
+		return nil, fmt.Errorf("mesh: a fleet and a name without %q are needed", nameSeparator)
+	}
+	now := time.Now()
+	m := &Mesh{cfg: cfg, log: cfg.Log, began: now, process: rand.Uint64() | 1, lines: rate.NewLimiter(logRate, 2*logRate),
+		events: make(chan processEvent, eventQueue), mail: make(chan message, mailQueue), states: make(chan map[string]uint64, 16),
+		asks: make(chan func()), done: make(chan struct{}), ended: make(chan struct{}), processes: map[string]*process{},
+		shown: map[string]Member{}, penalties: map[string]*penalty{}, highest: map[string]uint64{},
+		joining: make(chan struct{}, 1), joinWait: joinMin, differs: map[string]time.Duration{}, unanswered: map[string]bool{}}
+	m.mine = meta{Incarnation: uint64(now.UnixMilli()), Phase: phaseJoining, Zone: cfg.Zone, Region: cfg.Region, Tier: cfg.Tier,
+		Version: cfg.Version, Digest: cfg.Digest}
+	if m.cfg.Probe == 0 {
+		m.cfg.Probe = 400 * time.Millisecond
+	}
+	m.joining <- struct{}{}
+	var seeds []string
+	for _, s := range cfg.Seeds {
+		name, _, _ := strings.Cut(s, "=")
+		seeds = append(seeds, name)
+	}
+	m.council = newCouncil(cfg.Name, m.process, seeds, 0)
+	m.dirty = true
+	m.publish()
+	if err := m.open(); err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+		return nil, fmt.Errorf("mesh: %w", err)
+	} else if err != nil {
+		m.log.Info("mesh waits for its address", "address", cfg.Listen)
+	}
+	go m.run()
+	return m, nil
+}
+
+func (m *Mesh) now() time.Duration { return time.Since(m.began) }
+
+// open listens and starts the failure detector.
+func (m *Mesh) open() error {
+	t, err := listenTransport(m.cfg.Listen, xxhash.Sum64String(m.cfg.Fleet), m.process, m.cfg.Dial, &m.drops)
+	if err != nil {
+		return err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name = m.member()
+	c.Transport = t
+	c.ProbeInterval, c.ProbeTimeout = m.cfg.Probe, m.cfg.Probe/2
+	c.SuspicionMult = 3
+	c.GossipInterval, c.GossipNodes = m.cfg.Probe/4, 3
+	c.PushPullInterval = 25 * m.cfg.Probe
+	c.TCPTimeout = streamTime
+	c.EnableCompression = false
+	c.UDPBufferSize = mostPacket - frameHead
+	c.HandoffQueueDepth = packetQueue
+	c.Delegate, c.Events, c.Ping = (*delegate)(m), (*delegate)(m), (*delegate)(m)
+	c.Logger = log.New(logWriter{m}, "", 0)
+	ml, err := memberlist.Create(c)
+	if err != nil {
+		t.Shutdown()
+		return err
+	}
+	m.transport, m.ml = t, ml
+	return nil
+}
+
+func (m *Mesh) shut() {
+	if m.ml == nil {
+		return
+	}
+	m.ml.Shutdown() // the transport, too
+	m.transport.Shutdown()
+	m.retired.packets += m.transport.packets.Load()
+	m.retired.bytes += m.transport.bytes.Load()
+	m.ml, m.transport, m.nodes = nil, nil, nil
+}
+
+// member is this process's name within memberlist.
+func (m *Mesh) member() string { return fmt.Sprintf("%s%s%016x", m.cfg.Name, nameSeparator, m.process) }
+
+// logWriter passes the library's own lines on at the debug level. The library tells of a probe without an answer in no
+// other way; a test holds it to its words.
+type logWriter struct{ m *Mesh }
+
+var unanswered = regexp.MustCompile(`Suspect (\S+) has failed, no acks received`)
+
+func (w logWriter) Write(p []byte) (int, error) {
+	if s := unanswered.FindSubmatch(p); s != nil {
+		w.m.suspect(string(s[1]), true)
+	}
+	w.m.log.Debug("memberlist", "said", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+// suspect notes that a probe of a process by this one got an answer or none.
+func (m *Mesh) suspect(member string, is bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if is {
+		m.unanswered[member] = true // memberlist probes members only: there are no more names than these
+	} else {
+		delete(m.unanswered, member)
+	}
+}
+
+// View returns the newest view. Its side is checked against the time: a process that stood still claims nothing on the
+// strength of what was proved before.
+func (m *Mesh) View() View {
+	v, now := *m.view.Load(), m.now()
+	if v.Side >= Majority && now >= v.until {
+		v.Side, v.Under = Minority, 0
+	}
+	v.Members = slices.Clone(v.Members)
+	for i := range v.Members {
+		v.Members[i].Age = now - v.Members[i].since
+	}
+	return v
+}
+
+// Counters returns the figures, as old as the mesh's tick at most.
+func (m *Mesh) Counters() Counters { return *m.counters.Load() }
+
+// Disagreements returns whose view differs from ours. The leader of a roster knows of all members, others of the leader.
+func (m *Mesh) Disagreements() []Disagreement { return *m.disagree.Load() }
+
+// Serving tells the fleet that this process serves.
+func (m *Mesh) Serving() { m.phase(phaseAlive) }
+
+// ask runs f on the mesh's goroutine; false: the mesh has ended.
+func (m *Mesh) ask(f func()) bool {
+	select {
+	case m.asks <- f:
+		return true
+	case <-m.ended:
+		return false
+	}
+}
+
+func (m *Mesh) phase(p string) {
+	m.ask(func() {
+		m.mu.Lock()
+		m.mine.Phase = p
+		m.mu.Unlock()
+		m.spread()
+	})
+}
+
+// spread lets the others know of a change of our meta data.
+func (m *Mesh) spread() {
+	m.dirty = true
+	if ml := m.ml; ml != nil {
+		go ml.UpdateNode(time.Second) // ends by then; an error means that nobody else is there
+	}
+}
+
+// Leave tells the fleet that this process goes, waits up to 0.8 s for the roster to be without it, and ends the mesh.
+func (m *Mesh) Leave() {
+	m.phase(phaseLeaving)
+	look := time.NewTicker(tickEvery / 4)
+	defer look.Stop()
+	for end := time.Now().Add(leaveWithin); time.Now().Before(end); <-look.C {
+		out := make(chan bool, 1)
+		if !m.ask(func() {
+			_, in := slices.BinarySearch(m.council.roster, m.cfg.Name)
+			out <- !in && m.council.prev == nil || len(m.council.live) == 1
+		}) || <-out {
+			break
+		}
+	}
+	m.ask(func() {
+		if m.ml != nil {
+			m.ml.Leave(leaveWithin / 4) // an error means that the word did not get round in time
+		}
+	})
+	m.Close()
+}
+
+// Close ends the mesh without a word, as for a successor that takes the address over.
+func (m *Mesh) Close() {
+	m.closing.Do(func() { close(m.done) })
+	<-m.ended
+}
+
+// run owns the state until Close.
+func (m *Mesh) run() {
+	defer close(m.ended)
+	defer m.shut()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	retry := time.Duration(0)
+	for {
+		select {
+		case e := <-m.events:
+			m.event(e)
+		case msg := <-m.mail:
+			m.hear(msg)
+		case s := <-m.states:
+			m.merge(s)
+		case f := <-m.asks:
+			f()
+		case <-tick.C:
+			if m.ml == nil && m.now() >= max(retry, m.outUntil) {
+				retry = m.now() + retryAddress
+				if err := m.open(); err == nil {
+					m.outUntil, m.dirty = 0, true
+					m.log.Info("mesh has its address", "address", m.cfg.Listen)
+				}
+			}
+			m.tick()
+		case <-m.done:
+			return
+		}
+	}
+}
+
+// event takes a change in the failure detector.
+func (m *Mesh) event(e processEvent) {
+	if e.node.Name == m.member() {
+		return
+	}
+	p := m.processes[e.node.Name]
+	if p == nil {
+		p = &process{member: e.node.Name, name: nameOf(e.node.Name), state: Gone, since: m.now()}
+		m.processes[e.node.Name] = p
+	}
+	m.dirty = true
+	p.addr = e.node.Address()
+	if len(e.node.Meta) > 0 {
+		json.Unmarshal(e.node.Meta, &p.meta) // one that can't be read says nothing of itself
+	}
+	state := Gone
+	switch {
+	case e.live:
+		state = Alive
+	case e.node.State == memberlist.StateLeft || p.meta.Phase == phaseLeaving:
+		state = Left
+	}
+	if state != p.state {
+		p.state, p.since = state, m.now()
+	}
+}
+
+// tick looks at suspects, lets the council speak, and publishes the view.
+func (m *Mesh) tick() {
+	if m.ml != nil {
+		m.suspects()
+	}
+	m.prune()
+	m.identity()
+	m.publish()
+	if m.ml == nil {
+		return
+	}
+	for to, msg := range m.council.tick(m.now(), m.view.Load().Digest) {
+		m.send(to, msg)
+	}
+	m.publish() // the council may have changed its mind
+	m.join()
+}
+
+// suspects takes over who is suspected, and all that dropped events would have told.
+func (m *Mesh) suspects() {
+	missed := m.missed.Swap(false)
+	live := map[string]bool{}
+	m.nodes = map[string][]*memberlist.Node{}
+	for _, n := range m.ml.Members() {
+		live[n.Name] = true
+		m.nodes[nameOf(n.Name)] = append(m.nodes[nameOf(n.Name)], n)
+		p := m.processes[n.Name]
+		if p == nil || missed {
+			m.event(processEvent{node: *n, live: true})
+		}
+		if p = m.processes[n.Name]; p == nil || p.state != Alive && p.state != Suspect {
+			continue
+		}
+		state := Alive
+		m.mu.Lock()
+		if m.unanswered[n.Name] {
+			state = Suspect
+		}
+		m.mu.Unlock()
+		if state != p.state {
+			p.state, p.since, m.dirty = state, m.now(), true
+		}
+	}
+	m.mu.Lock()
+	for member := range m.unanswered {
+		if !live[member] {
+			delete(m.unanswered, member)
+		}
+	}
+	m.mu.Unlock()
+	for _, p := range m.processes {
+		if missed && !live[p.member] && (p.state == Alive || p.state == Suspect) {
+			p.state, p.since, m.dirty = Gone, m.now(), true
+		}
+	}
+}
+
+// prune forgets processes that ended long ago, and penalties that have decayed.
+func (m *Mesh) prune() {
+	now := m.now()
+	var over []*process
+	for key, p := range m.processes {
+		if p.state == Gone || p.state == Left {
+			if now-p.since > endedFor {
+				m.remember(p)
+				delete(m.processes, key)
+				continue
+			}
+			over = append(over, p)
+		}
+	}
+	if extra := len(over) - mostEnded; extra > 0 {
+		slices.SortFunc(over, func(a, b *process) int { return int(a.since - b.since) })
+		for _, p := range over[:extra] {
+			m.remember(p)
+			delete(m.processes, p.member)
+		}
+	}
+	for name, p := range m.penalties {
+		if now > p.until && p.now(now) < 0.1 {
+			delete(m.penalties, name)
+		}
+	}
+}
+
+func (m *Mesh) remember(p *process) {
+	if p.meta.Incarnation > m.highest[p.name] && len(m.highest) < mostRost {
+		m.highest[p.name] = p.meta.Incarnation
+	}
+}
+
+// merge takes the incarnations that another process remembers.
+func (m *Mesh) merge(s map[string]uint64) {
+	for name, i := range s {
+		if i > m.highest[name] && (len(m.highest) < mostRost || m.highest[name] > 0 || name == m.cfg.Name) {
+			m.highest[name] = i
+		}
+	}
+}
+
+// identity keeps this process's incarnation above those of all that have had its name, also after its clock went back,
+// and finds another live process of the name. The older one steps out.
+func (m *Mesh) identity() {
+	now := m.now()
+	above := m.highest[m.cfg.Name]
+	var rival *process
+	for _, p := range m.processes {
+		if p.name != m.cfg.Name {
+			continue
+		}
+		live := (p.state == Alive || p.state == Suspect) && p.meta.Phase != phaseLeaving
+		if live && m.transport != nil && p.addr == m.transport.tcp.Addr().String() {
+			live = false // we hold its address: it has ended, the others do not know yet
+		}
+		if !live {
+			above = max(above, p.meta.Incarnation)
+		} else if p.state == Alive && (rival == nil || p.elder(rival)) {
+			rival = p
+		}
+	}
+	m.mu.Lock()
+	bumped := above >= m.mine.Incarnation
+	if bumped {
+		m.mine.Incarnation = above + 1
+	}
+	mine := m.mine.Incarnation
+	m.mu.Unlock()
+	if bumped {
+		m.log.Info("mesh incarnation raised", "to", mine)
+		m.spread()
+	}
+	if rival == nil {
+		m.dirty = m.dirty || m.conflictAt != 0
+		m.conflictAt = 0
+		return
+	}
+	if m.conflictAt == 0 {
+		m.conflictAt, m.dirty = now, true
+		m.log.Warn("another process has this one's name", "address", rival.addr, "incarnation", rival.meta.Incarnation, "mine", mine)
+	}
+	older := rival.meta.Incarnation > mine || rival.meta.Incarnation == mine && rival.member > m.member()
+	if older && now-m.conflictAt >= conflictFor {
+		m.log.Error("this process steps out of the mesh: a newer one has its name; clients are served as ever", "address", rival.addr)
+		m.ml.Leave(tickEvery) // where the word is late the others find out
+		m.shut()
+		m.processes = map[string]*process{}
+		m.conflictAt, m.outUntil, m.dirty = 0, now+stepOut/2+rand.N(stepOut), true
+	}
+}
+
+// elder says that p is to be taken for the newer process.
+func (p *process) elder(o *process) bool {
+	return p.meta.Incarnation > o.meta.Incarnation || p.meta.Incarnation == o.meta.Incarnation && p.member > o.member
+}
+
+// now is the penalty's weight after its decay.
+func (p *penalty) now(at time.Duration) float64 {
+	half := float64(at-p.at) / float64(flapHalf)
+	w := p.points
+	for ; half >= 1; half-- {
+		w /= 2
+	}
+	return w * (1 - half/2)
+}
+
+// flap adds to a member's penalty when it comes back from being gone.
+func (m *Mesh) flap(name string) {
+	now := m.now()
+	p := m.penalties[name]
+	if p == nil {
+		p = &penalty{}
+		m.penalties[name] = p
+	}
+	p.points, p.at = min(p.now(now)+1, 10), now
+	if over := p.points - flapHold; over >= 0 {
+		hold := flapBase
+		for ; over >= 1 && hold < flapMost; over-- {
+			hold *= 2
+		}
+		p.until = now + min(hold, flapMost)
+	}
+}
