The node takes part in the mesh where a fleet configuration says so; the lab plays it

Need: the mesh in the program, with the lab's faults between real processes.

Change: ROUTER_FLEET or the key "fleet" names the file; the mesh starts before the listener, says when the node serves, leaves on SIGTERM, and gives its address to a successor (and takes it back if that dies). The lab writes fleet configurations with each node's own links to its peers, TCP and UDP, and variants may have their own.

--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -32,6 +32,8 @@
 	Binary string   `toml:"binary"` // default: the one given to the tool
 	Args   []string `toml:"args"`
 	Env    []string `toml:"env"` // NAME=value
+
+	Fleet lab.Tables `toml:"fleet"` // in place of the world's; {} turns all of it off
 }
 
 const (
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -199,6 +199,9 @@
 	f := r.File
 	w := f.World
 	w.Seed, w.Args, w.Env = seed, v.Args, v.Env
+	if v.Fleet != nil {
+		w.Fleet = v.Fleet
+	}
 	w.Binary = r.Binary
 	if v.Binary != "" {
 		w.Binary = v.Binary
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -54,6 +54,7 @@
 	mu    sync.Mutex
 	ways  map[string]*way
 	links map[string]*tcpLink // by FROM->TO
+	udp   map[string]*udpLink // beside some of them, at the same address
 }
 
 // Node is one keelusher process, or the place of one.
@@ -91,7 +92,7 @@
 	}
 	l = &Lab{world: w, dir: w.Dir, began: time.Now(), nodes: map[string]*Node{}, servers: map[string]*Server{},
 		classes: map[string]*Class{}, discard: log.New(io.Discard, "", 0), done: make(chan struct{}), ways: map[string]*way{},
-		links: map[string]*tcpLink{}}
+		links: map[string]*tcpLink{}, udp: map[string]*udpLink{}}
 	l.spawner = newSpawner()
 	defer func() {
 		if err != nil {
@@ -217,8 +218,13 @@
 func (n *Node) configure() error {
 	w := &n.lab.world
 	n.starts++
+	path, err := n.lab.writeFleet(n)
+	if err != nil {
+		return err
+	}
 	text, err := json.Marshal(map[string]any{
-		"name": n.name, "listen": n.Listen(), "control": n.Control(), "discovery": n.discovery,
+		"fleet": path,
+		"name":  n.name, "listen": n.Listen(), "control": n.Control(), "discovery": n.discovery,
 		"seed":     fmt.Sprintf("%016x", xxhash.Sum64String(n.name)^w.Seed^uint64(n.starts)<<32),
 		"limits":   map[string]any{"cores": w.Limits.Cores, "memory_mb": w.Limits.MemoryMB, "sockets": w.Limits.Sockets},
 		"known":    n.lab.disc.known(n),
@@ -601,12 +607,15 @@
 			}
 		}
 		l.mu.Lock()
-		links := l.links
-		l.links = map[string]*tcpLink{}
+		links, udp := l.links, l.udp
+		l.links, l.udp = map[string]*tcpLink{}, nil
 		l.mu.Unlock()
 		for _, link := range links {
 			link.close()
 		}
+		for _, link := range udp {
+			link.close()
+		}
 		l.owned.Wait()
 		close(l.spawner.done)
 		if l.lock != nil {
--- /dev/null
+++ b/internal/lab/mesh.go
@@ -0,0 +1,137 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// meshListen is where a node's mesh listens, for UDP and TCP.
+func (n *Node) meshListen() string { return net.JoinHostPort(n.ip, "5002") }
+
+// writeFleet writes a node's fleet configuration and returns its path; empty: there is none. The world's tables are as
+// they are; to [mesh] the lab adds addresses: the node's own, the seeds', and its own links to peers.
+func (l *Lab) writeFleet(n *Node) (string, error) {
+	if len(l.world.Fleet) == 0 {
+		return "", nil
+	}
+	all := maps.Clone(l.world.Fleet)
+	if all["name"] == nil {
+		all["name"] = "lab"
+	}
+	if given, ok := all["mesh"].(map[string]any); ok {
+		mesh := maps.Clone(given)
+		seeds, dial := []string{}, map[string]string{}
+		for _, s := range l.front.nodes[:min(l.world.Seeds, len(l.front.nodes))] {
+			seeds = append(seeds, s.name+"="+s.meshListen())
+		}
+		for _, o := range l.order {
+			if o == n || !l.linked(n.name, o.name) {
+				continue
+			}
+			addr, err := l.meshLink(n, o)
+			if err != nil {
+				return "", err
+			}
+			dial[o.name] = addr
+		}
+		mesh["listen"], mesh["seeds"], mesh["dial"] = n.meshListen(), seeds, dial
+		all["mesh"] = mesh
+	}
+	text, err := toml.Marshal(all)
+	if err != nil {
+		return "", fmt.Errorf("fleet configuration: %w", err)
+	}
+	path := filepath.Join(n.process.dir, "fleet.toml")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// meshLink is the address of the link from one node's mesh to another's, for both protocols.
+func (l *Lab) meshLink(n, o *Node) (string, error) {
+	addr := l.linkAddr(n.name, o.name, o.meshListen())
+	key := n.name + "->" + o.name
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[key] == nil {
+		return "", fmt.Errorf("no link %s", key)
+	}
+	if l.udp[key] == nil {
+		u, err := newUDPLink(addr, o.meshListen(), l.wayLocked(n.name, o.name), l.wayLocked(o.name, n.name))
+		if err != nil {
+			return "", err
+		}
+		l.udp[key] = u
+	}
+	return addr, nil
+}
+
+// FleetView is what a node's door says of the fleet.
+type FleetView struct {
+	Self    string `json:"self"`
+	Side    string `json:"side"`
+	Under   string `json:"under"` // the process that has proved the side
+	Digest  string `json:"digest"`
+	Roster  int    `json:"roster"`
+	Settled bool   `json:"settled"`
+	Epoch   struct{ Number uint64 }
+	Members []struct {
+		Name  string `json:"name"`
+		State string `json:"state"`
+	} `json:"members"`
+	Figures struct {
+		PacketsOut int64            `json:"packets_out"`
+		BytesOut   int64            `json:"bytes_out"`
+		Dropped    map[string]int64 `json:"dropped"`
+	} `json:"figures"`
+}
+
+// State is a member's state in a view; empty: unknown.
+func (v *FleetView) State(name string) string {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+var doorCaller = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Fleet asks a node's door what it knows of the fleet.
+func (n *Node) Fleet(ctx context.Context) (*FleetView, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control()+"/control/members", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := doorCaller.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", n.name, resp.Status)
+	}
+	v := &FleetView{}
+	return v, json.NewDecoder(resp.Body).Decode(v)
+}
+
+// Agree says that all of some nodes are on a side, have the same digest and no change of the roster under way.
+func Agree(ctx context.Context, nodes []*Node, side string) bool {
+	digest := ""
+	for _, n := range nodes {
+		v, err := n.Fleet(ctx)
+		if err != nil || v.Side != side || !v.Settled || digest != "" && v.Digest != digest {
+			return false
+		}
+		digest = v.Digest
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lab/mesh_test.go
@@ -0,0 +1,132 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// meshed is a world of front nodes that know of each other, with a link between any two.
+func meshed(nodes int) World {
+	w := small(nodes, 1)
+	w.Fleet = Tables{"mesh": map[string]any{"probe": "200ms"}}
+	w.Links = []string{"n*->n*"}
+	return w
+}
+
+func sides(l *Lab, nodes []*Node) (all []string) {
+	for _, n := range nodes {
+		v, err := n.Fleet(context.Background())
+		if err != nil {
+			all = append(all, err.Error())
+			continue
+		}
+		all = append(all, fmt.Sprintf("%s:%s/%d/%s", n.name, v.Side, v.Epoch.Number, v.Digest[:4]))
+	}
+	return all
+}
+
+func untilAgreed(t *testing.T, l *Lab, nodes []*Node, side string) {
+	t.Helper()
+	defer func() {
+		if t.Failed() {
+			t.Log(sides(l, nodes))
+		}
+	}()
+	Until(t, fmt.Sprintf("%d nodes agree on %s", len(nodes), side), func() bool { return Agree(context.Background(), nodes, side) })
+}
+
+func untilSeen(t *testing.T, nodes []*Node, name, state string) {
+	t.Helper()
+	for _, n := range nodes {
+		Until(t, n.name+" sees "+name+" as "+state, func() bool {
+			v, err := n.Fleet(context.Background())
+			return err == nil && v.State(name) == state
+		})
+	}
+}
+
+// Real processes find a killed one, take one back that stood still after they buried it, hear a planned leave, and take a
+// restarted one for the same member; clients are served all the while.
+func TestMeshOfProcesses(t *testing.T) {
+	t.Parallel()
+	l := Start(t, meshed(5))
+	nodes := l.Nodes()
+	untilAgreed(t, l, nodes, "whole")
+	load, day := draw(t, &l.world, Load{Rate: 50, Retries: 1}, 12*time.Second)
+	driven := make(chan struct{})
+	var got tally
+	go func() {
+		defer close(driven)
+		l.Drive(context.Background(), &load, day, got.add)
+	}()
+	nodes[4].Kill()
+	untilSeen(t, nodes[:4], "n5", "gone")
+	untilAgreed(t, l, nodes[:4], "majority")
+	if err := nodes[4].restart(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	untilAgreed(t, l, nodes, "whole")
+	nodes[2].Stop()
+	untilSeen(t, append(nodes[:2:2], nodes[3:]...), "n3", "gone")
+	nodes[2].Continue()
+	untilAgreed(t, l, nodes, "whole")
+	nodes[3].Terminate()
+	untilSeen(t, append(nodes[:3:3], nodes[4]), "n4", "left")
+	untilAgreed(t, l, append(nodes[:3:3], nodes[4]), "whole")
+	<-driven
+	clean(t, l)
+}
+
+// A split leaves one majority; the others know that they have none, and all find each other when it ends.
+func TestMeshSplitAndHealed(t *testing.T) {
+	t.Parallel()
+	l := Start(t, meshed(5))
+	nodes := l.Nodes()
+	untilAgreed(t, l, nodes, "whole")
+	for _, from := range []string{"n1", "n2"} {
+		for _, to := range []string{"n3", "n4", "n5"} {
+			l.SetLink(from, to, Cond{Cut: true})
+			l.SetLink(to, from, Cond{Cut: true})
+		}
+	}
+	untilAgreed(t, l, nodes[2:], "majority")
+	untilAgreed(t, l, nodes[:2], "minority")
+	l.SetLink("n*", "n*", Cond{})
+	untilAgreed(t, l, nodes, "whole")
+}
+
+// One node that cannot be heard by one other stays a member for all: its word gets there through the others.
+func TestMeshOneWayCutKeepsTheFleet(t *testing.T) {
+	t.Parallel()
+	l := Start(t, meshed(4))
+	nodes := l.Nodes()
+	untilAgreed(t, l, nodes, "whole")
+	l.SetLink("n4", "n3", Cond{Cut: true})
+	from := l.Now()
+	Until(t, "some time has passed", func() bool {
+		for _, n := range nodes {
+			v, err := n.Fleet(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range v.Members {
+				if m.State == "gone" {
+					t.Fatalf("%s takes %s for gone", n.name, m.Name)
+				}
+			}
+		}
+		return l.Now()-from > 5*time.Second
+	})
+}
+
+// Without a fleet configuration the door knows of no members.
+func TestNoMeshWithoutAFleetConfiguration(t *testing.T) {
+	w := meshed(1)
+	w.Fleet = nil
+	l := Start(t, w)
+	if v, err := l.Nodes()[0].Fleet(context.Background()); err == nil {
+		t.Errorf("the door says %+v", v)
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -25,6 +25,9 @@
 	Notice    time.Duration `toml:"front_notice"` // how late the front sees that a node has died; default 2 s
 	Links     []string      `toml:"links"`        // FROM->TO patterns of the links that get a proxy; faults add theirs
 
+	Fleet Tables `toml:"fleet"` // fleet configuration of all nodes; the lab adds addresses. Empty: none
+	Seeds int    `toml:"seeds"` // front nodes that are the mesh's seeds; default 3
+
 	Binary string   `toml:"-"` // the node program; required
 	Args   []string `toml:"-"` // its arguments
 	Env    []string `toml:"-"` // added to each node's environment
@@ -35,6 +38,19 @@
 	Ready      time.Duration `toml:"-"` // a node that is not ready after so long never will be; default 30 s
 }
 
+// Tables are TOML tables that the lab passes on to the nodes without reading them.
+type Tables map[string]any
+
+// UnmarshalTOML takes a table as it is.
+func (t *Tables) UnmarshalTOML(v any) error {
+	table, ok := v.(map[string]any)
+	if !ok {
+		return fmt.Errorf("%T is no table", v)
+	}
+	*t = table
+	return nil
+}
+
 // Tier is one layer of servers. Nodes is for the first tier only: behind it every server has a node of its own.
 type Tier struct {
 	Name    string  `toml:"name"`
@@ -134,6 +150,7 @@
 	orDefault(&w.Discovery.MaxLag, time.Second)
 	orDefault(&w.Notice, 2*time.Second)
 	orDefault(&w.Ready, 30*time.Second)
+	orDefault(&w.Seeds, 3)
 	if len(w.Zones) == 0 {
 		w.Zones = []string{"a"}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/fleet"
 	"deckrelay/internal/wire"
 )
 
@@ -26,8 +27,10 @@
 	Sockets   int
 	Known     roster // the servers as this node last had them
 	Settings  deckrelay.Settings
+	Fleet     *fleet.Config       // nil: the node knows of no others
 	Shared    func(processes int) // told when so many processes share the limits; may be nil
 
+	fleetPath      string        // as the configuration names it
 	handover       string        // where a process that takes over this address finds this one; "": nowhere
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
@@ -46,6 +49,12 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if err := c.loadFleet(cmp.Or(c.fleetPath, os.Getenv("ROUTER_FLEET"))); err != nil {
+		return Config{}, err
+	}
+	if c.Sockets > 0 && c.Sockets < 2*c.reserved() {
+		return Config{}, fmt.Errorf("configuration %s: limits: %d sockets are too few with a mesh", path, c.Sockets)
+	}
 	c.handover = handoverPath(os.Getenv("TMPDIR"), c.Listen)
 	return c, nil
 }
@@ -56,6 +65,7 @@
 		Listen    string `json:"listen"`
 		Control   string `json:"control"`
 		Discovery string `json:"discovery"`
+		Fleet     string `json:"fleet"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -68,7 +78,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Known: raw.Known,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Known: raw.Known, fleetPath: raw.Fleet,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
 	c.Control = cmp.Or(raw.Control, os.Getenv("ROUTER_CONTROL"))
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"control", c.Control}, {"discovery", c.Discovery}} {
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -17,7 +17,8 @@
 // listener nor places, and a call reads only what is at hand.
 type door struct {
 	life    *lifecycle
-	usable  func() bool // callers are served here, and some server is known to be in service
+	members func() ([]byte, bool) // JSON; false: there is no mesh
+	usable  func() bool           // callers are served here, and some server is known to be in service
 	asks    chan<- chan<- figures
 	stopped <-chan struct{} // the loop has ended
 }
@@ -50,6 +51,7 @@
 		answer func(http.ResponseWriter)
 	}{
 		"/control/counters":       {http.MethodGet, d.counters},
+		"/control/members":        {http.MethodGet, d.fleet},
 		"/control/ready":          {http.MethodGet, yes(func() bool { return d.life.knows() && d.usable() })},
 		"/control/out-of-service": {http.MethodPut, yes(func() bool { return d.life.take(drain) })},
 		"/control/in-service":     {http.MethodPut, yes(func() bool { return d.life.take(resume) })},
@@ -78,6 +80,17 @@
 	}
 }
 
+// fleet answers with the members as this node sees them; 404 without a mesh.
+func (d *door) fleet(w http.ResponseWriter) {
+	text, ok := d.members()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text) // fails only as the caller leaves
+}
+
 // yes answers yes or no.
 func yes(is func() bool) func(http.ResponseWriter) {
 	return func(w http.ResponseWriter) {
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -84,7 +84,7 @@
 	cfg.Sockets = 2 * reserved // the least there may be
 	n := start(t, cfg)
 	held := make(chan bool)
-	most := inboundPlaces(cfg.Sockets)
+	most := cfg.inboundPlaces(cfg.Sockets)
 	for i := range most {
 		go func() {
 			resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", fmt.Sprint(i), "x"))
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime/debug"
+
+	"deckrelay"
+	"deckrelay/internal/fleet"
+	"deckrelay/internal/mesh"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// loadFleet reads the fleet configuration at a path; none is named: nil.
+func (c *Config) loadFleet(path string) error {
+	if path == "" {
+		return nil
+	}
+	f, err := fleet.Load(path)
+	if err != nil {
+		return err
+	}
+	if f.Region == "" {
+		f.Region = c.Settings.Zone
+	}
+	c.Fleet = f
+	return nil
+}
+
+// reserved is how many descriptors are for neither callers nor servers.
+func (c *Config) reserved() int {
+	if c.meshed() {
+		return reserved + mesh.Descriptors
+	}
+	return reserved
+}
+
+func (c *Config) meshed() bool { return c.Fleet != nil && c.Fleet.Mesh != nil }
+
+// startMesh joins the fleet.
+func (n *Node) startMesh() (*mesh.Mesh, error) {
+	f, s := n.cfg.Fleet, n.cfg.Settings
+	return mesh.Start(mesh.Config{Fleet: f.Name, Name: n.cfg.Name, Zone: s.Zone, Region: f.Region, Tier: s.Tier,
+		Version: version(), Digest: digest(s), Listen: f.Mesh.Listen, Seeds: f.Mesh.Seeds, Dial: f.Mesh.Dial, Probe: f.Mesh.Probe, Log: n.log})
+}
+
+// version is the revision that the program was built from, as far as it is known.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	return ""
+}
+
+// digest is over the settings that all nodes have in common.
+func digest(s deckrelay.Settings) string {
+	s.Self, s.Tier, s.Balancers, s.Zone = 0, 0, 0, ""
+	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%+v", s)))
+}
+
+// takePart keeps this node's place in the fleet until ctx ends. While a successor serves the place is the successor's;
+// if that dies, this process takes it back.
+func (n *Node) takePart(ctx context.Context, m *mesh.Mesh) {
+	for {
+		n.mesh.Store(m)
+		passed := n.keepPlace(ctx, m)
+		if ctx.Err() != nil {
+			if passed {
+				m.Close()
+			} else {
+				m.Leave()
+			}
+			return
+		}
+		m.Close() // the successor waits for the address
+		for n.handover.passed.Load() {
+			select {
+			case <-n.handover.moved:
+			case <-ctx.Done():
+				return
+			}
+		}
+		var err error
+		if m, err = n.startMesh(); err != nil {
+			n.log.Error("the place in the mesh could not be taken back", "err", err)
+			return
+		}
+	}
+}
+
+// keepPlace says when the node serves, and returns once ctx ends or a successor serves.
+func (n *Node) keepPlace(ctx context.Context, m *mesh.Mesh) (passed bool) {
+	for told := false; ; {
+		if !told && n.life.now() == serving {
+			m.Serving()
+			told = true
+		}
+		if n.handover.passed.Load() {
+			return true
+		}
+		select {
+		case <-n.served:
+		case <-n.handover.moved:
+		case <-ctx.Done():
+			return n.handover.passed.Load()
+		}
+	}
+}
+
+// members is what the door shows of the fleet.
+func (n *Node) members() ([]byte, bool) {
+	m := n.mesh.Load()
+	if m == nil {
+		return nil, false
+	}
+	v := m.View()
+	text, err := json.Marshal(struct {
+		Fleet   string              `json:"fleet"`
+		Self    string              `json:"self"`
+		Side    mesh.Side           `json:"side"`
+		Under   string              `json:"under"`
+		Epoch   mesh.Epoch          `json:"epoch"`
+		Roster  int                 `json:"roster"`
+		Settled bool                `json:"settled"`
+		Digest  string              `json:"digest"`
+		Members []mesh.Member       `json:"members"`
+		Differ  []mesh.Disagreement `json:"differ"`
+		Figures mesh.Counters       `json:"figures"`
+	}{n.cfg.Fleet.Name, n.cfg.Name, v.Side, fmt.Sprintf("%016x", v.Under), v.Epoch, v.Roster, v.Settled, fmt.Sprintf("%016x", v.Digest), v.Members, m.Disagreements(), m.Counters()})
+	if err != nil {
+		n.log.Error("members", "err", err)
+		return nil, false
+	}
+	return text, true
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -109,8 +109,9 @@
 	log    *slog.Logger
 	ln     *net.TCPListener
 	phase  func() phase
-	share  func(int)   // so many more processes share the limits
-	passed atomic.Bool // a successor serves
+	share  func(int)     // so many more processes share the limits
+	passed atomic.Bool   // a successor serves
+	moved  chan struct{} // holds a token after passed has changed
 }
 
 // serve waits for successors, one after another, until ctx ends. A successor binds the place for itself, so what it
@@ -140,6 +141,15 @@
 	}
 }
 
+// take notes whether a successor serves, and lets one know that waits for it.
+func (h *handover) take(serves bool) {
+	h.passed.Store(serves)
+	select {
+	case h.moved <- struct{}{}:
+	default:
+	}
+}
+
 // bind binds beside the path and moves the file there in one step: whoever is bound there before loses nothing but
 // the name.
 func (h *handover) bind() (*net.UnixListener, error) {
@@ -181,11 +191,11 @@
 		if _, err := c.Read(b); err != nil {
 			break
 		}
-		h.passed.Store(true)
+		h.take(true)
 		h.log.Info("the successor serves")
 	}
 	if ctx.Err() == nil { // it ended before this process did
-		h.passed.Store(false)
+		h.take(false)
 		h.share(-1)
 		h.log.Warn("the successor is gone")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/mesh"
 )
 
 const (
@@ -36,6 +37,9 @@
 	buffers buffers
 	inbound *bounded // callers' connections; nil until it listens
 
+	mesh   atomic.Pointer[mesh.Mesh] // nil: no fleet configuration asks for one
+	served chan struct{}             // holds a token after the phase has changed; for the mesh
+
 	open     atomic.Bool // callers are served here, and the process before knows
 	handover *handover   // nil until it listens
 	sharing  sync.Mutex
@@ -54,17 +58,19 @@
 	n := &Node{cfg: cfg, log: logger}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal, newStats(cfg.Settings.Classes))
-	n.moves = make(chan struct{}, 1)
+	n.moves, n.served = make(chan struct{}, 1), make(chan struct{}, 1)
 	n.life = &lifecycle{moved: func(from, to phase) {
 		logger.Info("phase", "from", from.String(), "to", to.String())
-		select {
-		case n.moves <- struct{}{}:
-		default:
+		for _, c := range []chan struct{}{n.moves, n.served} {
+			select {
+			case c <- struct{}{}:
+			default:
+			}
 		}
 	}}
-	in := inboundPlaces(cfg.Sockets)
+	in := n.cfg.inboundPlaces(cfg.Sockets)
 	n.buffers = newBuffers(cfg.MemoryMB, in)
-	n.pool = newPool(cfg, cfg.Sockets-reserved-in, n.loop, n.buffers)
+	n.pool = newPool(cfg, cfg.Sockets-cfg.reserved()-in, n.loop, n.buffers)
 	n.loop.sender = n.pool
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
 		select {
@@ -80,7 +86,7 @@
 }
 
 // inboundPlaces is how many connections callers may hold at once.
-func inboundPlaces(sockets int) int { return (sockets - reserved) * 5 / 8 }
+func (c *Config) inboundPlaces(sockets int) int { return (sockets - c.reserved()) * 5 / 8 }
 
 // Run serves until ctx ends, then drains: it takes what still comes while the front notices, answers
 // what it holds and returns nil.
@@ -89,6 +95,14 @@
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
+	if n.cfg.meshed() {
+		m, err := n.startMesh()
+		if err != nil {
+			return fmt.Errorf("%w (mesh.listen of the fleet configuration)", err)
+		}
+		n.mesh.Store(m)
+		defer m.Close()
+	}
 	before, err := succeed(n.cfg.handover)
 	if err != nil {
 		n.log.Warn("nothing was handed over", "err", err)
@@ -126,7 +140,7 @@
 	grace := time.AfterFunc(firstList, func() { n.life.take(heard) })
 	defer grace.Stop()
 
-	n.inbound = bound(ln, inboundPlaces(n.cfg.Sockets), n.loop.stats)
+	n.inbound = bound(ln, n.cfg.inboundPlaces(n.cfg.Sockets), n.loop.stats)
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, arrivals: n.loop.arrivals,
 			gone: n.loop.gone, stopped: n.loop.stop, stats: n.loop.stats, buffers: n.buffers,
@@ -138,7 +152,7 @@
 		MaxHeaderBytes:    maxHead,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share}
+	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share, moved: make(chan struct{}, 1)}
 	begun := make(chan struct{})                             // callers are accepted here
 	known, alone := make(chan struct{}), make(chan struct{}) // to the process before; there is none any more
 	if before == nil {
@@ -183,9 +197,14 @@
 		}
 	})
 	own(func() { n.tend(meeting) })
+	part, stopPart := context.WithCancel(ctx)
+	defer stopPart()
+	if m := n.mesh.Load(); m != nil {
+		own(func() { n.takePart(part, m) })
+	}
 	var operators *http.Server
 	if doorAt != nil {
-		operators = newDoor(&door{life: n.life, asks: n.loop.asks, stopped: n.loop.stop,
+		operators = newDoor(&door{members: n.members, life: n.life, asks: n.loop.asks, stopped: n.loop.stop,
 			usable: func() bool { return n.open.Load() && n.loop.usable.Load() }}, n.log)
 		own(func() {
 			if err := operators.Serve(bound(doorAt, doorPlaces, newStats(nil))); !errors.Is(err, http.ErrServerClosed) {
@@ -205,6 +224,7 @@
 	case <-ctx.Done():
 		n.drain(accepting)
 	}
+	stopPart()
 	stopMeeting()
 	server.Close()
 	if operators != nil { // the last to go: it answers while callers are sent away
@@ -259,9 +279,9 @@
 	n.buffers.requests.share(was, 1+n.others)
 	n.buffers.answers.share(was, 1+n.others)
 	sockets := n.cfg.Sockets / (1 + n.others)
-	in := max(leastPlaces, inboundPlaces(sockets))
+	in := max(leastPlaces, n.cfg.inboundPlaces(sockets))
 	n.inbound.resize(in)
-	n.pool.resize(max(leastPlaces, sockets-reserved-in))
+	n.pool.resize(max(leastPlaces, sockets-n.cfg.reserved()-in))
 	if n.cfg.Shared != nil {
 		n.cfg.Shared(1 + n.others)
 	}
