--- /dev/null
+++ b/cmd/quaywick-lab/mesh.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"deckrelay/internal/lab"
+
+	"github.com/spf13/cobra"
+)
+
+// meshCommand plays the scenarios of membership and prints a table of times, median and worst over all nodes and seeds.
+func meshCommand() *cobra.Command {
+	var binary, only string
+	var nodes, seeds int
+	var probe time.Duration
+	c := &cobra.Command{Use: "mesh", Short: "Trouble a fleet whose only work is membership, and time it", Args: cobra.NoArgs}
+	c.Flags().StringVar(&binary, "binary", "bin/quaywick", "the node program")
+	c.Flags().StringVar(&only, "only", "", "scenarios whose name contains this")
+	c.Flags().IntVar(&nodes, "nodes", 16, "nodes, where the scenario does not say")
+	c.Flags().IntVar(&seeds, "seeds", 5, "plays of each scenario")
+	c.Flags().DurationVar(&probe, "probe", 400*time.Millisecond, "between two probes")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		path, err := filepath.Abs(binary)
+		if err != nil {
+			return err
+		}
+		if nodes < 4 || nodes > 100 || seeds < 1 || seeds > 1000 {
+			return usageError{errors.New("--nodes must be from 4 to 100 and --seeds from 1 to 1000")}
+		}
+		failed := false
+		fmt.Println("| scenario | nodes | plays | figure | median | worst | count |\n| --- | --- | --- | --- | --- | --- | --- |")
+		for _, sc := range lab.Scenarios {
+			if !strings.Contains(sc.Name, only) {
+				continue
+			}
+			bad, err := meshScenario(c.Context(), sc, path, nodes, seeds, probe)
+			if err != nil {
+				return err
+			}
+			failed = failed || bad
+		}
+		if failed {
+			return errors.New("a scenario was not played to its end, or two majorities were seen")
+		}
+		return nil
+	}
+	return c
+}
+
+// meshScenario plays one scenario with all seeds; bad says that it went wrong in some.
+func meshScenario(ctx context.Context, sc lab.Scenario, binary string, nodes, seeds int, probe time.Duration) (bad bool, err error) {
+	times, counts := map[string][]time.Duration{}, map[string]int{}
+	if sc.Nodes > 0 {
+		nodes = sc.Nodes
+	}
+	for seed := range seeds {
+		s, err := lab.RunScenario(ctx, sc, binary, nodes, uint64(seed+1), probe)
+		if err != nil {
+			return true, err
+		}
+		for k, v := range s.Times {
+			times[k] = append(times[k], v...)
+		}
+		for k, v := range s.Counts {
+			counts[k] += v
+		}
+		if s.Drawback != "" {
+			counts[s.Drawback]++
+			bad = true
+		}
+	}
+	row := func(figure, median, worst, count string) {
+		fmt.Printf("| %s | %d | %d | %s | %s | %s | %s |\n", sc.Name, nodes, seeds, figure, median, worst, count)
+	}
+	for _, k := range slices.Sorted(maps.Keys(times)) {
+		x := slices.Sorted(slices.Values(times[k]))
+		row(k, x[len(x)/2].Round(time.Millisecond).String(), x[len(x)-1].Round(time.Millisecond).String(), fmt.Sprint(len(x)))
+	}
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		row(k, "", "", fmt.Sprint(counts[k]))
+	}
+	if counts["two majorities"] == 0 {
+		row("two majorities", "", "", "0")
+	}
+	return bad || counts["two majorities"] > 0, nil
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -90,7 +90,7 @@
 	Dial                      map[string]string
 	Probe                     time.Duration
 	Log                       *slog.Logger
-	Changed                   func(View) // is told of each new view by the mesh's goroutine; must not block; may be nil
+	Changed                   func(View) // is told by the mesh's goroutine whenever the view may have changed; must not block; may be nil
 }
 
 // Bounds and times.
@@ -102,7 +102,8 @@
 	endedFor     = 10 * time.Minute // how long
 	retryAddress = 200 * time.Millisecond
 	joinMin      = 300 * time.Millisecond // between attempts to find lost members, jittered
-	joinMost     = 3 * time.Second
+	joinMost     = 2 * time.Second
+	lookFor      = 2 * time.Minute // for a member that has left: most are back by then
 	conflictFor  = 5 * time.Second // two processes of one name live so long before the older steps out
 	stepOut      = 30 * time.Second
 	leaveWithin  = 800 * time.Millisecond // for the roster to be without us
@@ -148,6 +149,7 @@
 	process uint64
 	drops   Drops
 	lines   *rate.Limiter
+	listen  func() (wire, error)
 
 	view     atomic.Pointer[View]
 	counters atomic.Pointer[Counters]
@@ -164,7 +166,7 @@
 
 	// The rest is of the mesh's goroutine, but for mine.
 	ml         *memberlist.Memberlist
-	transport  *transport
+	wire       wire
 	council    *council
 	processes  map[string]*process // by member
 	shown      map[string]Member   // by name, as of the last view
@@ -215,9 +217,27 @@
 	For   time.Duration `json:"for_ns"`
 }
 
+// wire is what packets and streams go over.
+type wire interface {
+	memberlist.NodeAwareTransport
+	addr() string // at which peers find this process
+	sent() (packets, bytes int64)
+}
+
 // Start joins the fleet in the background. It fails only where the address can never be had; one that another process
 // holds is waited for, as in an upgrade.
 func Start(cfg Config) (*Mesh, error) {
+	return start(cfg, func(m *Mesh) (wire, error) {
+		t, err := listenTransport(cfg.Listen, xxhash.Sum64String(cfg.Fleet), m.process, cfg.Dial, &m.drops)
+		if err != nil {
+			return nil, err
+		}
+		return t, nil
+	})
+}
+
+// start is Start over any wire.
+func start(cfg Config, listen func(*Mesh) (wire, error)) (*Mesh, error) {
 	if cfg.Name == "" || cfg.Fleet == "" || strings.Contains(cfg.Name, nameSeparator) {
 		return nil, fmt.Errorf("mesh: a fleet and a name without %q are needed", nameSeparator)
 	}
@@ -227,6 +247,7 @@
 		asks: make(chan func()), done: make(chan struct{}), ended: make(chan struct{}), processes: map[string]*process{},
 		shown: map[string]Member{}, penalties: map[string]*penalty{}, highest: map[string]uint64{},
 		joining: make(chan struct{}, 1), joinWait: joinMin, differs: map[string]time.Duration{}, unanswered: map[string]bool{}}
+	m.listen = func() (wire, error) { return listen(m) }
 	m.mine = meta{Incarnation: uint64(now.UnixMilli()), Phase: phaseJoining, Zone: cfg.Zone, Region: cfg.Region, Tier: cfg.Tier,
 		Version: cfg.Version, Digest: cfg.Digest}
 	if m.cfg.Probe == 0 {
@@ -254,7 +275,7 @@
 
 // open listens and starts the failure detector.
 func (m *Mesh) open() error {
-	t, err := listenTransport(m.cfg.Listen, xxhash.Sum64String(m.cfg.Fleet), m.process, m.cfg.Dial, &m.drops)
+	t, err := m.listen()
 	if err != nil {
 		return err
 	}
@@ -262,7 +283,7 @@
 	c.Name = m.member()
 	c.Transport = t
 	c.ProbeInterval, c.ProbeTimeout = m.cfg.Probe, m.cfg.Probe/2
-	c.SuspicionMult = 3
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
 	c.GossipInterval, c.GossipNodes = m.cfg.Probe/4, 3
 	c.PushPullInterval = 25 * m.cfg.Probe
 	c.TCPTimeout = streamTime
@@ -276,7 +297,7 @@
 		t.Shutdown()
 		return err
 	}
-	m.transport, m.ml = t, ml
+	m.wire, m.ml = t, ml
 	return nil
 }
 
@@ -285,10 +306,11 @@
 		return
 	}
 	m.ml.Shutdown() // the transport, too
-	m.transport.Shutdown()
-	m.retired.packets += m.transport.packets.Load()
-	m.retired.bytes += m.transport.bytes.Load()
-	m.ml, m.transport, m.nodes = nil, nil, nil
+	m.wire.Shutdown()
+	packets, bytes := m.wire.sent()
+	m.retired.packets += packets
+	m.retired.bytes += bytes
+	m.ml, m.wire, m.nodes = nil, nil, nil
 }
 
 // member is this process's name within memberlist.
@@ -567,7 +589,7 @@
 			continue
 		}
 		live := (p.state == Alive || p.state == Suspect) && p.meta.Phase != phaseLeaving
-		if live && m.transport != nil && p.addr == m.transport.tcp.Addr().String() {
+		if live && m.wire != nil && p.addr == m.wire.addr() {
 			live = false // we hold its address: it has ended, the others do not know yet
 		}
 		if !live {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -201,7 +201,7 @@
 		t.Fatal(err)
 	}
 	defer to.Close()
-	tr := f.mesh[0].transport
+	tr := f.mesh[0].wire.(*transport)
 	good := frame{kind: framePacket, fleet: tr.fleet, process: 77, seq: 5, payload: []byte("x")}
 	foreign := good
 	foreign.fleet++
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -43,7 +43,7 @@
 	seq     atomic.Uint64
 	drops   *Drops
 	packets atomic.Int64 // sent
-	bytes   atomic.Int64
+	bytes   atomic.Int64 // sent, streams left out
 
 	udp     *net.UDPConn
 	tcp     *net.TCPListener
@@ -87,6 +87,10 @@
 	return t, nil
 }
 
+func (t *transport) addr() string { return t.tcp.Addr().String() }
+
+func (t *transport) sent() (packets, bytes int64) { return t.packets.Load(), t.bytes.Load() }
+
 // FinalAdvertiseAddr is the address that peers are told.
 func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
 	at := t.tcp.Addr().(*net.TCPAddr)
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -107,7 +107,7 @@
 		m.log.Info("view", "side", v.Side.String(), "epoch", fmt.Sprintf("%d/%s", v.Epoch.Number, v.Epoch.Leader),
 			"live", len(m.live), "roster", v.Roster, "under", fmt.Sprintf("%016x", v.Under), "digest", fmt.Sprintf("%016x", v.Digest))
 	}
-	if m.cfg.Changed != nil && (before == nil || before.Side != v.Side || before.Epoch != v.Epoch || before.Digest != v.Digest) {
+	if m.cfg.Changed != nil && (rebuilt || before.Side != v.Side || before.Epoch != v.Epoch) {
 		m.cfg.Changed(*v)
 	}
 	if rebuilt {
@@ -188,9 +188,10 @@
 	for _, one := range v.Members {
 		c.States[one.State.String()]++
 	}
-	if m.transport != nil {
-		c.PacketsOut += m.transport.packets.Load()
-		c.BytesOut += m.transport.bytes.Load()
+	if m.wire != nil {
+		packets, bytes := m.wire.sent()
+		c.PacketsOut += packets
+		c.BytesOut += bytes
 		c.Health = m.ml.GetHealthScore()
 	}
 	d := &m.drops
@@ -265,7 +266,7 @@
 	}
 }
 
-// join looks for members that are lost: seeds, and those gone that were members before. It goes on as long as there are
+// join looks for members that are lost: seeds, those gone that were members before, and for a while those that have left. It goes on as long as there are
 // any, so that a split heals by itself, whichever side the seeds are on.
 func (m *Mesh) join() {
 	now := m.now()
@@ -286,7 +287,8 @@
 		if one.lives() {
 			others++
 		}
-		if one.State == Gone && name != m.cfg.Name && len(lost) < 4 {
+		back := one.State == Gone || one.State == Left && now-one.since < lookFor // it may start again where the seeds are out of reach
+		if back && name != m.cfg.Name && len(lost) < 4 {
 			lost = append(lost, name+"/"+one.Address)
 		}
 	}
