--- a/policy.go
+++ b/policy.go
@@ -15,33 +15,37 @@
 
 // Constants are shares, ratios or counts; every length of time is a setting or was observed.
 const (
-	alpha       = 0.5              // share of the list in the left group
-	memory      = 0.06             // weight of a new sample in pooled averages (about 16 samples)
-	ownMemory   = 0.25             // weight of a new sample in a single server's averages
-	chance      = 0.08             // a run of errors likelier than this by the peers' error share is luck
-	tailSpread  = 3.0              // deviations above the mean at which a wait counts as overlong
-	minSamples  = 3                // good endings in a row that end a trial
-	mostOut     = 0.2              // share of the list that health may exclude; beyond that all are drawn
-	ejection    = 12               // mean latencies that a first ejection, or a lack of room, lasts
-	maxLevel    = 5                // doublings of an ejection
-	windowKnee  = 5.0              // own calls a server, and a tier behind it, admitted at first and regained fast
-	windowFloor = 0.2              // part of these that is always admitted
-	peersSpan   = 4.0              // times the settings' number of copies, or part of it, that peers are believed
-	peersHalf   = 10 * time.Second // half of the way to another number of copies
-	peersStep   = time.Second      // between two steps on the way
-	retryEarn   = 0.15             // further attempts earned by a success
-	unsentCost  = 0.1              // what a further attempt costs when the last one never ran
-	retryPurse  = 10               // most that can be saved up
-	aimFill     = 0.65             // mean latency over aim that admission steers to
-	shedding    = 4.0              // part of aimFill given up when all is shed, for each unit of unevenness
-	windowUp    = 0.02             // window gained by an answer in good time
-	windowBack  = 1.0              // the same, under the knee
-	windowDown  = 0.05             // part of the window lost by an answer when all are late
-	leastReach  = 4.0              // servers that a copy draws from at least
-	callReach   = 0.5              // more of them for each own call in flight
-	spillLeast  = 0.03             // share that leaves the nearest anyway, so that the copy learns of the others
-	spillGain   = 0.25             // excess of log latency at the nearest that leaving them must win back
-	spread      = 0.618            // copies' stretches start at its multiples, which lie evenly in a ring
+	alpha       = 0.5   // share of the list in the left group
+	memory      = 0.06  // weight of a new sample in pooled averages (about 16 samples)
+	ownMemory   = 0.25  // weight of a new sample in a single server's averages
+	chance      = 0.08  // a run of errors likelier than this by the peers' error share is luck
+	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
+	minSamples  = 3     // good endings in a row that end a trial
+	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
+	ejection    = 12    // mean latencies that a first ejection, or a lack of room, lasts
+	maxLevel    = 5     // doublings of an ejection
+	windowKnee  = 5.0   // own calls a server, and a tier behind it, admitted at first and regained fast
+	windowFloor = 0.2   // part of these that is always admitted
+	retryEarn   = 0.15  // further attempts earned by a success
+	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
+	retryPurse  = 10    // most that can be saved up
+	aimFill     = 0.65  // mean latency over aim that admission steers to
+	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
+	windowUp    = 0.02  // window gained by an answer in good time
+	windowBack  = 1.0   // the same, under the knee
+	windowDown  = 0.05  // part of the window lost by an answer when all are late
+	leastReach  = 4.0   // servers that a copy draws from at least
+	callReach   = 0.5   // more of them for each own call in flight
+	spillLeast  = 0.03  // share that leaves the nearest anyway, so that the copy learns of the others
+	spillGain   = 0.25  // excess of log latency at the nearest that leaving them must win back
+	spread      = 0.618 // copies' stretches start at its multiples, which lie evenly in a ring
+)
+
+// How far peers are believed about the number of copies, and how fast.
+const (
+	peersSpan = 4.0              // times the settings' number, or part of it
+	peersHalf = 10 * time.Second // half of the way to another number
+	peersStep = time.Second      // between two steps on the way
 )
 
 // ---- State ----
@@ -242,8 +246,8 @@
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
-// takePeers aims at the number of copies that peers make out, within a span around the settings' number: what peers
-// say may cost efficiency, and must not let one copy take the tier for its own.
+// takePeers aims at the number of copies that peers make out, within a span around the settings' number:
+// what peers say may cost efficiency, and must not let one copy take the tier for its own.
 func (b *Balancer) takePeers(e Peers) {
 	told, n := float64(max(1, b.set.Balancers)), 0
 	for _, k := range e.Copies {
@@ -256,8 +260,8 @@
 	b.copiesAt = b.now
 }
 
-// countCopies lets the number of copies move half of its way in each half-life, so that windows do not jump. Without
-// word of peers it does nothing.
+// countCopies lets the number of copies move half of its way in each half-life, so that windows do not jump.
+// Without word of peers it does nothing.
 func (b *Balancer) countCopies() {
 	passed := b.now - b.copiesAt
 	if b.copies == b.aimed || passed < peersStep {
