Go on with the packet numbers when a process that stepped out of the mesh comes back

Cause: each opening of the address began its packets' sequence at 1 under the same process number, while the peers' windows had newer numbers of it: they took its first packets for replays. Seen by reading; measured by a test that lets the older of two processes of a name come back: 22 packets counted as replayed. It came back all the same, by streams.

Change: the sequence is the process's, over all its transports.

Measured: 0 replayed; go test -count=2 -run Older ./internal/mesh.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -147,6 +147,7 @@
 	log     *slog.Logger
 	began   time.Time
 	process uint64
+	seq     atomic.Uint64 // of packets sent
 	drops   Drops
 	lines   *rate.Limiter
 	listen  func() (wire, error)
@@ -228,7 +229,7 @@
 // holds is waited for, as in an upgrade.
 func Start(cfg Config) (*Mesh, error) {
 	return start(cfg, func(m *Mesh) (wire, error) {
-		t, err := listenTransport(cfg.Listen, xxhash.Sum64String(cfg.Fleet), m.process, cfg.Dial, &m.drops)
+		t, err := listenTransport(cfg.Listen, xxhash.Sum64String(cfg.Fleet), m.process, &m.seq, cfg.Dial, &m.drops)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -174,6 +174,13 @@
 	eventually(t, "the older is out, and knows", func() bool { return state(first, "n2") == Conflict && first.View().Side == Alone })
 	f.mesh[2] = second
 	eventually(t, "the rest agree", func() bool { return f.agree(f.mesh, 3, Whole) })
+	second.Close()
+	first.ask(func() { first.outUntil = first.now() }) // it tries again, sooner than it would
+	f.mesh[2] = first
+	eventually(t, "the older is back", func() bool { return f.agree(f.mesh, 3, Whole) })
+	if n := f.mesh[0].Counters().Dropped["replayed"]; n > 0 {
+		t.Errorf("%d packets of the one that came back were taken for replays", n)
+	}
 }
 
 // A successor waits for the address and is the same member; nobody takes the change for a loss.
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -40,7 +40,7 @@
 	fleet   uint64
 	process uint64
 	dial    map[string]string
-	seq     atomic.Uint64
+	seq     *atomic.Uint64 // of the process, over all its transports
 	drops   *Drops
 	packets atomic.Int64 // sent
 	bytes   atomic.Int64 // sent, streams left out
@@ -62,7 +62,7 @@
 var _ memberlist.NodeAwareTransport = (*transport)(nil)
 
 // listenTransport opens both sockets at one address.
-func listenTransport(addr string, fleet, process uint64, dial map[string]string, drops *Drops) (*transport, error) {
+func listenTransport(addr string, fleet, process uint64, seq *atomic.Uint64, dial map[string]string, drops *Drops) (*transport, error) {
 	at, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 		tcp.Close()
 		return nil, err
 	}
-	t := &transport{fleet: fleet, process: process, dial: dial, drops: drops, udp: udp, tcp: tcp,
+	t := &transport{fleet: fleet, process: process, seq: seq, dial: dial, drops: drops, udp: udp, tcp: tcp,
 		in: make(chan *memberlist.Packet, packetQueue), streams: make(chan net.Conn), places: make(chan struct{}, inStreams),
 		out: make(chan struct{}, outStreams), limit: rate.NewLimiter(packetsRate, packetsBurst), done: make(chan struct{}),
 		windows: map[uint64]*window{}}
