Let the lab's servers hold only as many connections as their tier says

Cause: a tier's key "conns" was read and documented, and nothing acted on it.

Change: a server with more open connections than that turns requests away with 503 and X-Rejected, and closes.

--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -380,6 +381,30 @@
 	}
 }
 
+// A server with too many connections turns requests away, and says that they never ran.
+func TestServerHoldsSoManyConnections(t *testing.T) {
+	w := wellDouble(1)
+	w.Tiers[0].Conns = 2
+	l := Start(t, w)
+	s := l.Server("front-1")
+	var last net.Conn
+	for i := range 3 {
+		last = dial(t, s.gate.addr)
+		Until(t, "it is counted", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conns == i+1 })
+	}
+	l.referee.begin("x", "view", l.now()+time.Second)
+	fmt.Fprint(last, "GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: x\r\nX-Call-Class: view\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(last), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("X-Rejected") != "1" {
+		t.Errorf("answered %s, X-Rejected %q", resp.Status, resp.Header.Get("X-Rejected"))
+	}
+	Until(t, "its end makes room", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conns == 2 })
+	clean(t, l)
+}
+
 // Servers of a lost zone say nothing and come back cold; discovery drops them late.
 func TestZoneLostAndBack(t *testing.T) {
 	w := small(2, 4)
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,15 +43,14 @@
 	silent    bool
 	born      time.Duration // 0: long ago
 	queued    int           // wait for a slot
-	conns     int
-	waiting   int // wait for a core
-	busy      int // hold a core
+	conns     int           // open
+	waiting   int           // wait for a core
+	busy      int           // hold a core
 	overSince time.Duration
 	idleSince time.Duration
 	choked    bool
 	recent    []sentWork // while cold
 	served    int
-	refused   int
 }
 
 type sentWork struct {
@@ -66,11 +66,23 @@
 	spec := l.world.Tiers[tier]
 	s := &Server{name: name, zone: zone, tier: tier, spec: spec, lab: l, gate: g, health: "in_service",
 		cores: make(chan struct{}, spec.Cores), slots: make(chan struct{}, spec.Slots)}
-	s.http = &http.Server{Handler: s, IdleTimeout: l.world.Limits.ConnIdle, ErrorLog: l.discard}
+	s.http = &http.Server{Handler: s, IdleTimeout: l.world.Limits.ConnIdle, ErrorLog: l.discard, ConnState: s.track}
 	l.own(func() { s.http.Serve(g) }) // ends with the gate
 	return s, nil
 }
 
+// track counts the open connections.
+func (s *Server) track(_ net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns++
+	case http.StateClosed, http.StateHijacked:
+		s.conns--
+	}
+}
+
 // Name is the server's name in discovery's list.
 func (s *Server) Name() string { return s.name }
 
@@ -248,7 +260,7 @@
 		return
 	}
 	s.mu.Lock()
-	t := s.trouble
+	t, crowded := s.trouble, s.conns > s.spec.Conns
 	s.mu.Unlock()
 	switch {
 	case t.Hang:
@@ -258,7 +270,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if !s.slot(ctx) {
+	if crowded {
+		w.Header().Set("Connection", "close")
+	}
+	if crowded || !s.slot(ctx) {
 		s.lab.referee.neverRan(id)
 		w.Header().Set("X-Rejected", "1")
 		if ctx.Err() != nil {
@@ -288,7 +303,6 @@
 	}
 	s.mu.Lock()
 	if s.queued >= s.spec.Queue {
-		s.refused++
 		s.mu.Unlock()
 		return false
 	}
