Give each mistake in a fleet configuration a whole line of error

Cause: tried by hand, a file with two mistakes printed the second without the program's name, and docs/membership.md promised one line; it did not say what SIGHUP does with the file.

Measured: TestBadFleetConfiguration fails without the change and passes with it; the lines of a bad configuration and the exit codes are as before (TestBadConfiguration).

--- a/cmd/quaywick/main.go
+++ b/cmd/quaywick/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"deckrelay/internal/node"
@@ -18,7 +19,9 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintf(os.Stderr, "quaywick: %v\n", err)
+		for line := range strings.Lines(err.Error()) { // one for each thing that is wrong
+			fmt.Fprintf(os.Stderr, "quaywick: %s\n", strings.TrimSuffix(line, "\n"))
+		}
 		os.Exit(1)
 	}
 }
--- a/cmd/quaywick/main_test.go
+++ b/cmd/quaywick/main_test.go
@@ -118,6 +118,24 @@
 	}
 }
 
+// Each thing that is wrong with a fleet configuration gets a line of its own, with file, line and key.
+func TestBadFleetConfiguration(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	if err := os.WriteFile(path, []byte("name = \"x\"\n[mesh]\nlisten = \"nowhere\"\nprobe = \"1ms\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := program(t, fmt.Sprintf(config, "127.0.0.1:1"))
+	c.Env = append(c.Env, "ROUTER_FLEET="+path)
+	out, err := c.CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 1 {
+		t.Errorf("ended with %v, want exit 1", err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	if len(lines) != 2 || !strings.HasPrefix(lines[0], "quaywick: "+path+":3: mesh.listen: ") || !strings.HasPrefix(lines[1], "quaywick: "+path+":4: mesh.probe: ") {
+		t.Errorf("said %q, want a line for listen and one for probe", lines)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty":       "",
