Hold the list to its clock also after a stop of the process

At fault: discovery.go's watchdog, a plain timer, bit first thing after the stop and threw away what waited in the socket; loop.go took waiting requests before any news.

Design: a watchdog with a state. A sign of life that was due 0.1 s ago, for which nobody had waited, means that the process slept: sends wait until 50 ms pass without a further line, 0.3 s at most. Rejected: a wall clock or a ticker to see stops by, which costs wake-ups; and holding on until a new watch is open, which a dead discovery would stretch.

--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -36,7 +36,9 @@
 //	link      Delay, Jittered, Loss, Dup, Reorder and Rate, in that direction
 //	reset     every connection from From to To is reset, once
 //
-// Discovery: disc_down, disc_fail, disc_slow (Delay).
+// Discovery: disc_down, disc_fail, disc_slow (Delay); disc_dumb, disc_trickle, disc_cut and disc_indent as Outage has
+// them; once, disc_mute (open watches fall silent for good) and disc_renumber (it comes back with other numbers, higher
+// ones if Factor is above 1).
 type Fault struct {
 	Kind   string        `toml:"kind"`
 	At     time.Duration `toml:"at"`
@@ -68,6 +70,8 @@
 	"zone":    {zones: true, lasts: true},
 	"cut":     {link: true, lasts: true}, "split": {link: true, lasts: true}, "link": {link: true, lasts: true}, "reset": {link: true},
 	"disc_down": {lasts: true}, "disc_fail": {lasts: true}, "disc_slow": {lasts: true},
+	"disc_dumb": {lasts: true}, "disc_trickle": {lasts: true}, "disc_cut": {lasts: true}, "disc_indent": {lasts: true},
+	"disc_mute": {}, "disc_renumber": {},
 }
 
 // names lists the world's parts of a sort, sorted as they are numbered.
@@ -303,12 +307,17 @@
 		if l.ResetLink(f.From, f.To) == 0 {
 			return errNoLink
 		}
-	case "disc_down", "disc_fail", "disc_slow":
+	case "disc_down", "disc_fail", "disc_slow", "disc_dumb", "disc_trickle", "disc_cut", "disc_indent":
 		o := Outage{}
 		if !s.Ends {
-			o = Outage{Down: f.Kind == "disc_down", Fail: f.Kind == "disc_fail", Slow: f.Delay}
+			o = Outage{Down: f.Kind == "disc_down", Fail: f.Kind == "disc_fail", Slow: f.Delay, Dumb: f.Kind == "disc_dumb",
+				Trickle: f.Kind == "disc_trickle", Cut: f.Kind == "disc_cut", Indent: f.Kind == "disc_indent"}
 		}
 		l.Discovery(o)
+	case "disc_mute":
+		l.disc.mute()
+	case "disc_renumber":
+		l.disc.renumber(f.Factor > 1)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/lab/listclock_test.go
@@ -0,0 +1,56 @@
+package lab
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// A drain that a node could not hear of binds it all the same once it counts as told: for a node that was stopped, when
+// it was written; for a watch that fell silent, 6 s after that.
+func TestDrainsThatCameWhileNobodyHeard(t *testing.T) {
+	const drain = 1500 * time.Millisecond // after the load began
+	for name, c := range map[string]struct {
+		fault  string
+		from   time.Duration // of the fault
+		length time.Duration // of it
+		load   time.Duration
+	}{
+		"stopped": {"stop", time.Second, 4500 * time.Millisecond, 6 * time.Second},
+		"mute":    {"disc_mute", time.Second, 0, 11 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := small(2, 3)
+			for i := range w.Classes { // clients that still wait when a stopped node goes on
+				w.Classes[i].Aim, w.Classes[i].Deadline = 2500*time.Millisecond, 8*time.Second
+			}
+			w.Zones, w.Discovery.Late, w.Discovery.Asked = []string{"a"}, 50*time.Millisecond, true
+			l := Start(t, w)
+			load, day := draw(t, &l.world, Load{Rate: 100}, c.load)
+			steps, err := Schedule(&l.world, []Fault{
+				{Kind: c.fault, Target: "n1", At: c.from, For: c.length},
+				{Kind: "drain", Target: "front-2", At: drain, For: time.Minute}}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			played := make(chan struct{})
+			go func() {
+				defer close(played)
+				l.Play(context.Background(), steps, func(at time.Duration, what string) { t.Logf("%.2fs %s", at.Seconds(), what) })
+			}()
+			var got tally
+			l.Drive(context.Background(), &load, day, got.add)
+			<-played
+			clean(t, l)
+			if got.count("served") < len(day)/3 {
+				t.Errorf("served %d of %d", got.count("served"), len(day))
+			}
+			l.referee.mu.Lock()
+			defer l.referee.mu.Unlock()
+			if at, told := l.referee.told[[2]string{"n1", "front-2"}]; !told || at > l.now()-drainWithin-slack {
+				t.Errorf("told %v, at %v: the drain was not held to within the day", told, at)
+			}
+		})
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -20,12 +21,8 @@
 )
 
 const (
-	// A call or a watch without a line for so long is broken: a line comes every 2 s, and a call that waits in
-	// turn ends sooner. Silence, another dial and its silence must fit in the 6 s after which news counts as told
-	// and the 3 s of grace for a drain.
-	silence   = 3 * time.Second
 	retryMin  = 100 * time.Millisecond
-	retryMost = 2 * time.Second
+	retryMost = time.Second // two calls must fit in the grace of a drain that the agent knows of
 	maxLine   = 4 << 20
 )
 
@@ -69,13 +66,13 @@
 // discovery keeps a watch on the list. Where lists are pushed it mends a broken watch by itself;
 // where they are asked for, the module says when to ask.
 type discovery struct {
-	asked   bool
-	seq     int64
-	log     *slog.Logger
-	client  *http.Client
-	tell    func(context.Context, news) error // hands news to the loop
-	asks    chan struct{}                     // the module's wish for a watch
-	silence time.Duration
+	asked  bool
+	seq    int64
+	log    *slog.Logger
+	client *http.Client
+	tell   func(context.Context, news) error // hands news to the loop
+	asks   chan struct{}                     // the module's wish for a watch, or a move
+	guard  *watchdog
 
 	mu   sync.Mutex
 	addr string
@@ -83,7 +80,8 @@
 }
 
 func newDiscovery(cfg Config, log *slog.Logger, tell func(context.Context, news) error) *discovery {
-	return &discovery{addr: cfg.Discovery, asked: cfg.Settings.AskDiscovery, seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1), silence: silence,
+	return &discovery{addr: cfg.Discovery, asked: cfg.Settings.AskDiscovery, seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1),
+		guard: newWatchdog(silence, !cfg.Settings.AskDiscovery),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableKeepAlives:  true,
@@ -118,6 +116,8 @@
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	wait := retryMin
+	var lines int
+	var err error
 	for ctx.Err() == nil {
 		if d.asked {
 			select {
@@ -126,7 +126,11 @@
 				return
 			}
 		}
-		lines, err := d.watch(ctx)
+		if lines, err = d.watch(ctx); lines > 0 {
+			wait = retryMin
+		}
+		pause := wait/2 + rand.N(wait/2) // jitter keeps nodes from calling together
+		d.guard.close(pause)
 		if ctx.Err() != nil {
 			return
 		}
@@ -138,11 +142,9 @@
 			d.tell(ctx, news{failed: true}) // fails only as ctx ends
 			continue
 		}
-		if lines > 0 {
-			wait = retryMin
-		}
 		select {
-		case <-time.After(wait/2 + rand.N(wait/2)): // jitter keeps nodes from calling together
+		case <-time.After(pause):
+		case <-d.asks: // it has moved
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, retryMost)
@@ -164,9 +166,7 @@
 		defer d.mu.Unlock()
 		d.cut = nil
 	}()
-	// A cut-off machine says nothing: the connection stays open, and only the missing lines tell.
-	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("silent for too long")) })
-	defer watchdog.Stop()
+	d.guard.open(cancel) // a cut-off machine says nothing: the connection stays open, and only the missing lines tell
 	body, err := d.get(ctx, "?watch=1&from="+strconv.FormatInt(d.seq, 10))
 	if err != nil {
 		return 0, withCause(ctx, err)
@@ -174,13 +174,24 @@
 	defer body.Close()
 	in := bufio.NewScanner(body)
 	in.Buffer(make([]byte, 0, 64<<10), maxLine)
+	var begun []byte // of a list in many lines
 	for in.Scan() {
-		watchdog.Reset(d.silence)
-		lines++
-		if len(in.Bytes()) == 0 {
+		if len(in.Bytes()) == 0 && begun == nil {
+			lines++
+			d.guard.line()
 			continue
 		}
-		n, err := parseRoster(in.Bytes())
+		// An empty line says that all before it is whole.
+		begun = append(begun, in.Bytes()...)
+		if len(in.Bytes()) > 0 && len(begun) <= maxLine && !ended(in.Bytes(), begun) {
+			begun = append(begun, '\n')
+			d.guard.part()
+			continue
+		}
+		n, err := parseRoster(begun)
+		begun = nil
+		lines++
+		d.guard.line()
 		if err == nil && !n.Whole && n.Seq < d.seq {
 			err = errGap
 		}
@@ -198,6 +209,15 @@
 	return lines, io.EOF
 }
 
+// ended says that a list is whole, or spoilt, with its last line; it only looks closer where one can end.
+func ended(line, list []byte) bool {
+	if !bytes.HasSuffix(bytes.TrimRight(line, " \t\r"), []byte("}")) {
+		return false
+	}
+	var any json.RawMessage
+	return !errors.Is(json.NewDecoder(bytes.NewReader(list)).Decode(&any), io.ErrUnexpectedEOF)
+}
+
 // parseRoster reads a list that came whole. One without hosts would empty the list that the node has.
 func parseRoster(text []byte) (n roster, err error) {
 	if err = json.Unmarshal(text, &n); err == nil && n.Hosts == nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -103,7 +103,8 @@
 	log       *slog.Logger
 	bal       *deckrelay.Balancer
 	sender    sender
-	subscribe func() // asks discovery for a watch; must not block
+	subscribe func()    // asks discovery for a watch; must not block
+	guard     *watchdog // of discovery; nil: there is none
 
 	lists    chan news
 	arrivals chan *call
@@ -149,6 +150,7 @@
 		default:
 		}
 		for len(l.wakes) > 0 && l.wakes[0].At <= l.clock.now() {
+			l.catchUp()
 			w := heap.Pop(&l.wakes).(deckrelay.Wake)
 			l.handle(deckrelay.Timer{Token: w.Token})
 		}
@@ -163,11 +165,14 @@
 		case n := <-l.lists:
 			l.takeNews(n)
 		case c := <-l.arrivals:
+			l.catchUp()
 			l.takeCall(c)
 		case c := <-l.gone:
+			l.catchUp()
 			l.leave(c)
 			l.forget(c)
 		case r := <-l.results:
+			l.catchUp()
 			l.takeResult(r)
 		case s := <-l.sents:
 			l.takeSent(s)
@@ -185,6 +190,19 @@
 	}
 }
 
+// catchUp takes news before anything else once the process has slept: some of it may be overdue.
+func (l *loop) catchUp() {
+	for l.guard.hold() {
+		select {
+		case n := <-l.lists:
+			l.takeNews(n)
+		case <-time.After(settle / 10):
+		case <-l.stop:
+			return
+		}
+	}
+}
+
 // handle gives one event to the module and carries out what it answers.
 func (l *loop) handle(e deckrelay.Event) {
 	now := l.clock.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 			return ctx.Err()
 		}
 	})
-	n.loop.subscribe = n.disc.subscribe
+	n.loop.subscribe, n.loop.guard, n.pool.guard = n.disc.subscribe, n.disc.guard, n.disc.guard
 	return n, nil
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -56,6 +56,7 @@
 	sents   chan<- sent
 	begins  chan<- begun
 	stats   *stats
+	guard   *watchdog // of discovery
 	buffers buffers
 
 	mu   sync.Mutex
@@ -225,6 +226,9 @@
 }
 
 func (p *pool) maySend(att *attempt) bool {
+	for p.guard.hold() { // the server may have been told to drain while the process slept
+		time.Sleep(settle / 10)
+	}
 	return !att.call.closed.Load() && !att.target.stopped.Load() && p.clock.now() < att.deadline
 }
 
