Let a member's own answers outweigh what the detector says of it

Need: a detector that bears pauses, lost messages and one-sided cuts. Before, 8 nodes: 30% loss with 50 ms jitter took 17 wrongly for gone in a play of 30 s; a leader that was deaf or mute 12 a play; the last of seven killed at once was known after 11.8 s, since probes of the dead made the living patient. Design (internal/mesh/evidence.go): the library's suspicion is short and its health score capped, and its word is not the last: a member that it accuses, or that missed a probe, is asked every 0.1 s by all who hear of it, and three others are asked about it. Round trips count, frames do not: a deaf process still sends. Who has no answer from anybody takes itself for the one that is cut off: it buries nobody for 20 s and leads nobody; voters see in the polls' echoes whether a leader hears them. Rejected: a longer suspicion (costs the 2.5 s for a kill), and dropping a deaf process's accusations at its own transport (needs the library's format, helps only where deafness is known already).

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -82,9 +82,33 @@
 // Log is the file that holds what the process said, through all its starts.
 func (n *Node) Log() string { return n.process.logPath() }
 
+// Blocks of loopback addresses, 127.N.0.0/16 each.
+const (
+	firstBlock = 10
+	blocks     = 240
+	mostBlocks = 5 // that a lab tries
+)
+
+var errTaken = errors.New("another program has it")
+
 // Open builds a world and starts its processes. It returns once the front has taken in every node, and fails, with
-// nothing left running, when one does not come up.
+// nothing left running, when one does not come up. Beside a program that has one of its addresses it takes others.
 func Open(ctx context.Context, w World) (l *Lab, err error) {
+	return openFrom(ctx, w, rand.N(blocks))
+}
+
+// openFrom is Open that tries the blocks of addresses from one on.
+func openFrom(ctx context.Context, w World, block int) (l *Lab, err error) {
+	for range mostBlocks {
+		if l, err = open(ctx, w, block); !errors.Is(err, errTaken) {
+			break
+		}
+		block = l.net - firstBlock + 1
+	}
+	return l, err
+}
+
+func open(ctx context.Context, w World, block int) (l *Lab, err error) {
 	if err := w.Fill(); err != nil {
 		return nil, err
 	}
@@ -100,7 +124,7 @@
 			l.Close()
 		}
 	}()
-	if l.lock, l.net, err = claimNet(); err != nil {
+	if l.lock, l.net, err = claimNet(block); err != nil {
 		return l, err
 	}
 	if l.dir == "" {
@@ -124,10 +148,9 @@
 }
 
 // claimNet takes a part of the loopback range for itself alone, so that labs may run side by side.
-func claimNet() (net.Listener, int, error) {
-	first := rand.N(240)
-	for i := range 240 {
-		n := 10 + (first+i)%240
+func claimNet(first int) (net.Listener, int, error) {
+	for i := range blocks {
+		n := firstBlock + (first+i)%blocks
 		if ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:6999", n)); err == nil {
 			return ln, n, nil
 		}
@@ -241,7 +264,7 @@
 func (n *Node) Start() error {
 	ln, err := net.Listen("tcp", n.Listen())
 	if err != nil {
-		return fmt.Errorf("the address of %s is taken: %w", n.name, err)
+		return fmt.Errorf("the address of %s is taken: %w: %w", n.name, errTaken, err)
 	}
 	ln.Close()
 	if err := n.configure(); err != nil {
--- a/internal/lab/mesh_test.go
+++ b/internal/lab/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 )
@@ -132,3 +133,38 @@
 		t.Errorf("the door says %+v", v)
 	}
 }
+
+// A leader that hears nobody is replaced; its accusations, which all hear, take nobody out, in its own view either.
+func TestDeafLeaderIsReplaced(t *testing.T) {
+	t.Parallel()
+	for _, sc := range Scenarios {
+		if sc.Name != "deaf leader" {
+			continue
+		}
+		got, err := RunScenario(context.Background(), sc, binary, sc.Nodes, 1, 400*time.Millisecond)
+		if err != nil || got.Drawback != "" || got.Counts["wrongly gone"] > 0 || got.Counts["two majorities"] > 0 {
+			t.Errorf("%v %s: %v", err, got.Drawback, got.Counts)
+		}
+	}
+}
+
+// Beside a program that has one of its addresses a lab takes another block.
+func TestLabTakesAnotherBlock(t *testing.T) {
+	first := Start(t, wellDouble(1))
+	n := first.Node("n1")
+	n.Kill()
+	other, err := net.Listen("tcp", n.Listen())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	first.lock.Close() // the next lab may take the same block, beside the other program
+	l, err := openFrom(context.Background(), wellDouble(1), first.net-firstBlock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if l.net == first.net {
+		t.Error("the block is the taken one")
+	}
+}
--- a/internal/lab/study.go
+++ b/internal/lab/study.go
@@ -56,6 +56,27 @@
 	{Name: "20% loss, 50 ms jitter", Nodes: 8, play: func(s *study, ctx context.Context) error {
 		return s.quiet(ctx, "n*", "n*", Cond{Loss: 0.2, Jitter: 50 * time.Millisecond}, 30*time.Second)
 	}},
+	{Name: "30% loss, 50 ms jitter", Nodes: 8, play: func(s *study, ctx context.Context) error {
+		return s.quiet(ctx, "n*", "n*", Cond{Loss: 0.3, Jitter: 50 * time.Millisecond}, 30*time.Second)
+	}},
+	{Name: "20% loss, long", play: func(s *study, ctx context.Context) error {
+		return s.quiet(ctx, "n*", "n*", Cond{Loss: 0.2, Jitter: 50 * time.Millisecond}, 10*time.Minute)
+	}},
+	{Name: "loss in bursts", Nodes: 8, play: (*study).bursts},
+	{Name: "link of 800 ms", Nodes: 8, play: func(s *study, ctx context.Context) error {
+		return s.quiet(ctx, "n7", "n8", Cond{Delay: 800 * time.Millisecond}, 20*time.Second)
+	}},
+	{Name: "deaf leader", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.oneSided(ctx, true) }},
+	{Name: "mute leader", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.oneSided(ctx, false) }},
+	{Name: "deaf member", Nodes: 8, play: (*study).deafMember},
+	{Name: "ring of one-way cuts", Nodes: 8, play: (*study).ring},
+	{Name: "half stopped 4 s", Nodes: 8, play: (*study).halfStopped},
+	{Name: "leader stopped 1 s", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.leaderStopped(ctx, time.Second) }},
+	{Name: "leader stopped 2.5 s", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.leaderStopped(ctx, 2500*time.Millisecond) }},
+	{Name: "leader stopped 10 s", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.leaderStopped(ctx, 10*time.Second) }},
+	{Name: "a tenth of a processor in turn", Nodes: 8, play: (*study).tenthInTurn},
+	{Name: "joined by one", Nodes: 8, play: (*study).joinedByOne},
+	{Name: "killed as it accuses", Nodes: 8, play: (*study).killedAccuser},
 	{Name: "10% loss", Nodes: 8, play: func(s *study, ctx context.Context) error {
 		return s.quiet(ctx, "n*", "n*", Cond{Loss: 0.1}, 2*time.Minute)
 	}},
--- a/internal/mesh/council.go
+++ b/internal/mesh/council.go
@@ -33,6 +33,7 @@
 const (
 	pollEvery = 400 * time.Millisecond
 	lease     = 2 * time.Second  // a vote binds for so long; a lost poll or two do not matter
+	hearing   = lease            // a leader that has heard no vote for so long is deaf to the voter
 	settle    = time.Second      // a newcomer lives so long before the roster takes it in
 	forget    = 30 * time.Second // then one that is gone leaves the roster
 	mostRost  = 4096             // members of a roster
@@ -76,13 +77,16 @@
 	followUntil time.Duration
 	bound       uint64 // the process that has this one's vote
 	boundUntil  time.Duration
-	grant       uint64 // the process that has granted the majority
+	boundSince  time.Duration            // the first of its votes in a row
+	deaf        map[string]time.Duration // by name: does not hear this process's votes; until then
+	grant       uint64                   // the process that has granted the majority
 	grantUntil  time.Duration
 	grantWhole  bool
 
 	votes    map[string]vote          // as a leader, the last of each
 	granted  map[string]time.Duration // by name, until when one has the majority by this process's word at the latest
 	nextPoll time.Duration
+	mute     bool   // gets no answer from anybody: it leads nobody for now
 	resigned bool   // leads no more, and never again
 	over     uint64 // the process that has told this one so
 
@@ -150,6 +154,7 @@
 	Left  time.Duration `json:"l,omitempty"` // in a poll: for how long from that vote's coming the majority is certain
 	Holds bool          `json:"h,omitempty"` // in a poll: the leader has the majority, and its roster holds
 	Whole bool          `json:"w,omitempty"` // in a poll: all of the roster live
+	About string        `json:"a,omitempty"` // in an inquiry: the process, by its name within memberlist
 }
 
 type messageKind int
@@ -161,11 +166,14 @@
 	resign // the sender leads no more: its majority is not to be claimed
 	resigned
 	free // nobody claims the sender's majority: its votes are free
+	ask  // is a process there, or does it answer you?
+	here
+	vouch
 )
 
 func newCouncil(self string, process uint64, seeds []string, now time.Duration) *council {
 	c := &council{self: self, process: process, began: now, live: map[string]time.Duration{self: now}, granted: map[string]time.Duration{},
-		gone: map[string]time.Duration{}, votes: map[string]vote{}, missing: map[string][]string{}}
+		gone: map[string]time.Duration{}, deaf: map[string]time.Duration{}, votes: map[string]vote{}, missing: map[string][]string{}}
 	c.roster = slices.Compact(slices.Sorted(slices.Values(seeds)))
 	if len(c.roster) == 0 {
 		c.roster = []string{self}
@@ -212,11 +220,12 @@
 
 // leader is whom this process follows, or else the lowest living name of the roster; "" if none lives.
 func (c *council) leader(now time.Duration) string {
-	if now < c.followUntil && c.lives(c.follow) {
+	hears := func(name string) bool { return c.lives(name) && now >= c.deaf[name] }
+	if now < c.followUntil && hears(c.follow) {
 		return c.follow
 	}
 	for _, name := range c.roster {
-		if c.lives(name) {
+		if hears(name) {
 			return name
 		}
 	}
@@ -309,7 +318,7 @@
 // polled.
 func (c *council) tick(now time.Duration, digest uint64) map[string]message {
 	changed := c.bound == c.process && (c.prev != nil || now >= c.grantUntil) && c.majority(now) > now // let the others know
-	if now < c.nextPoll && !changed || c.resigned {
+	if now < c.nextPoll && !changed || c.resigned || c.mute {
 		return nil
 	}
 	c.nextPoll = now + pollEvery
@@ -324,6 +333,9 @@
 		c.bound, c.boundUntil = c.process, now+lease
 	}
 	until := c.majority(now)
+	if until <= now {
+		c.nextPoll = now + pollEvery/2 // it asks for votes
+	}
 	if holds := until > now; holds {
 		c.prev = nil
 		c.follow, c.followUntil = c.self, now+lease
@@ -499,6 +511,17 @@
 		if m.Process == c.over {
 			break // sent before it gave the lead up
 		}
+		// A leader that does not hear the votes cannot lead: it gets none, so that those it has run out.
+		echo := m.For == c.process && now-m.Vote < hearing
+		if c.bound == m.Process && now < c.boundUntil && now-c.boundSince >= hearing && !echo {
+			c.deaf[m.From] = now + lease
+		}
+		if echo {
+			delete(c.deaf, m.From)
+		}
+		if now < c.deaf[m.From] {
+			break
+		}
 		if m.Holds && now >= c.grantUntil || m.From == c.leader(now) {
 			c.follow, c.followUntil = m.From, now+lease
 		}
@@ -508,6 +531,9 @@
 		if m.Holds && m.Epoch == c.epoch {
 			c.prev = nil
 		}
+		if c.bound != m.Process || now >= c.boundUntil {
+			c.boundSince = now
+		}
 		c.bound, c.boundUntil = m.Process, now+lease
 		if until := m.Vote + m.Left; m.For == c.process && m.Left > 0 && until > now {
 			c.grant, c.grantUntil, c.grantWhole = m.Process, until, m.Whole
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -115,6 +115,8 @@
 	flapMost     = time.Minute
 	logRate      = 20 // member lines a second
 	pruneEvery   = time.Second
+	respreads    = 3
+	respreadIn   = 700 * time.Millisecond
 )
 
 // phases of a process, as its meta data has them.
@@ -187,13 +189,18 @@
 	nextJoin   time.Duration
 	joinWait   time.Duration
 	conflictAt time.Duration // since when an elder of our own name lives; 0: none
+	respread   int           // so often a raised incarnation is told once more: one whose death was refuted meanwhile may go unheard
+	nextSpread time.Duration
 	outUntil   time.Duration // stepped out until then; 0: not
 	differs    map[string]time.Duration
 	retired    struct{ packets, bytes int64 } // of transports that were shut
 	silenced   int
 
+	evidence *evidence
+
 	mu         sync.Mutex
 	mine       meta
+	answering  map[string]bool // processes that have answered a probe since the last tick
 	unanswered map[string]bool // processes whose last probe by this one got no answer
 }
 
@@ -254,7 +261,8 @@
 		asks: make(chan func()), done: make(chan struct{}), ended: make(chan struct{}), processes: map[string]*process{},
 		named: map[string][]*process{}, suspected: map[string]bool{},
 		shown: map[string]Member{}, penalties: map[string]*penalty{}, highest: map[string]uint64{},
-		joining: make(chan struct{}, 1), joinWait: joinMin, differs: map[string]time.Duration{}, unanswered: map[string]bool{}}
+		joining: make(chan struct{}, 1), joinWait: joinMin, differs: map[string]time.Duration{}, unanswered: map[string]bool{},
+		answering: map[string]bool{}, evidence: newEvidence()}
 	m.listen = func() (wire, error) { return listen(m) }
 	if cfg.Started.IsZero() {
 		cfg.Started = now
@@ -294,7 +302,8 @@
 	c.Name = m.member()
 	c.Transport = t
 	c.ProbeInterval, c.ProbeTimeout = m.cfg.Probe, m.cfg.Probe/2
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
+	// Suspicion is short, and Lifeguard's patience with a process's own health small: evidence.go has the last word.
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 2, 2, 2
 	c.GossipInterval, c.GossipNodes = m.cfg.Probe/4, 3
 	c.PushPullInterval = 25 * m.cfg.Probe
 	c.TCPTimeout = streamTime
@@ -350,6 +359,7 @@
 		m.unanswered[member] = true // memberlist probes members only: there are no more names than these
 	} else {
 		delete(m.unanswered, member)
+		m.answering[member] = true
 	}
 }
 
@@ -494,6 +504,12 @@
 	case e.node.State == memberlist.StateLeft || p.meta.Phase == phaseLeaving:
 		state = Left
 	}
+	if state == Gone && p.lives() {
+		m.accuse(p) // it may answer yet
+		return
+	}
+	delete(m.evidence.accused, p.member)
+	delete(m.evidence.buried, p.member)
 	if state != p.state {
 		p.state, p.since = state, m.now()
 	}
@@ -503,6 +519,7 @@
 func (m *Mesh) tick() {
 	if m.ml != nil {
 		m.suspects()
+		m.judge()
 		if m.missed.Swap(false) {
 			m.compare()
 		}
@@ -516,6 +533,7 @@
 	if m.ml == nil {
 		return
 	}
+	m.council.mute = m.unheard()
 	for to, msg := range m.council.tick(m.now(), m.view.Load().Digest) {
 		m.send(to, msg)
 	}
@@ -526,6 +544,12 @@
 // suspects takes over who is suspected. It costs as much as there are suspects, however large the fleet.
 func (m *Mesh) suspects() {
 	m.mu.Lock()
+	for member := range m.answering {
+		if p := m.processes[member]; p != nil {
+			m.answered(p)
+		}
+		delete(m.answering, member)
+	}
 	for member := range m.unanswered {
 		switch p := m.processes[member]; {
 		case p == nil || !p.lives():
@@ -539,7 +563,7 @@
 		if m.unanswered[member] {
 			continue
 		}
-		if p := m.processes[member]; p != nil && p.state == Suspect {
+		if p := m.processes[member]; p != nil && p.state == Suspect && m.evidence.accused[member] == 0 {
 			p.state, p.since, m.dirty = Alive, m.now(), true
 		}
 		delete(m.suspected, member)
@@ -558,7 +582,7 @@
 	}
 	for _, p := range m.processes {
 		if !live[p.member] && p.lives() {
-			p.state, p.since, m.dirty = Gone, m.now(), true
+			m.accuse(p)
 		}
 	}
 }
@@ -595,6 +619,7 @@
 // drop forgets a process, but for its incarnation.
 func (m *Mesh) drop(p *process) {
 	delete(m.processes, p.member)
+	m.evidence.forget(p.member)
 	if m.named[p.name] = slices.DeleteFunc(m.named[p.name], func(o *process) bool { return o == p }); len(m.named[p.name]) == 0 {
 		delete(m.named, p.name)
 	}
@@ -640,6 +665,10 @@
 	m.mu.Unlock()
 	if bumped {
 		m.log.Info("mesh incarnation raised", "to", mine)
+		m.respread = respreads
+	}
+	if m.respread > 0 && now >= m.nextSpread {
+		m.respread, m.nextSpread = m.respread-1, now+respreadIn
 		m.spread()
 	}
 	if rival == nil {
@@ -656,7 +685,7 @@
 		m.log.Error("this process steps out of the mesh: a newer one has its name; clients are served as ever", "address", rival.addr)
 		m.ml.Leave(tickEvery) // where the word is late the others find out
 		m.shut()
-		m.processes, m.named, m.suspected = map[string]*process{}, map[string][]*process{}, map[string]bool{}
+		m.processes, m.named, m.suspected, m.evidence = map[string]*process{}, map[string][]*process{}, map[string]bool{}, newEvidence()
 		m.conflictAt, m.outUntil, m.dirty = 0, now+stepOut/2+rand.N(stepOut), true
 	}
 }
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -225,6 +225,9 @@
 
 // hear takes a council's message.
 func (m *Mesh) hear(msg message) {
+	if m.attend(msg) {
+		return
+	}
 	own := m.view.Load().Digest
 	if msg.Digest == own {
 		delete(m.differs, msg.From)
@@ -234,11 +237,30 @@
 	if m.ml == nil {
 		return
 	}
+	if msg.For == m.process && (msg.Kind == ballot || msg.Kind == poll && m.now()-msg.Vote < fresh) { // it has heard us
+		for _, p := range m.named[msg.From] {
+			if p.number() == msg.Process {
+				m.answered(p)
+			}
+		}
+	}
 	if answer, ok := m.council.hear(m.now(), msg, own); ok {
 		m.send(msg.From, answer)
 	}
 }
 
+// sendTo sends a short message to one process, once.
+func (m *Mesh) sendTo(p *process, msg message) {
+	if p == nil || m.ml == nil {
+		return
+	}
+	text, err := json.Marshal(msg)
+	if err != nil {
+		panic(err) // plain values
+	}
+	m.ml.SendBestEffort(&p.node, text) // a lost one is as good as a lost answer
+}
+
 // send brings a message to the live process of a name; one that fits into no packet goes by a stream.
 func (m *Mesh) send(to string, msg message) {
 	text, err := json.Marshal(msg)
