Overrides over the fleet: ordered at any door, ended by every node's own clock

Need: the register alone orders nothing. Change: with [mesh] and [orders] in the fleet configuration a host (internal/node/overrides.go) brings the register's messages over the mesh, answers PUT, DELETE and GET under /control/overrides, asks the leader on behalf of any door, and tells the loop which zones are ordered away until when. The loop ends what is over before it hands the module any event, with the same now: a process that slept through the end wakes without it, and needs no host for it. An order by hand and one by override each hold a zone by themselves. One kind as yet, evacuate, which is the module's ZoneOrder; the module is unchanged. Off otherwise: no message, goroutine or path more. Rejected: the end in a timer or in the host's goroutine, which a stopped process runs after its first send. Each new test was seen to fail: without endOrders, and with the two kinds of order in one flag. Not measured: bytes a second, on against off in the lab.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,9 +15,10 @@
 
 // Config is a fleet configuration.
 type Config struct {
-	Name   string `toml:"name"`   // of the fleet; processes of other fleets are strangers
-	Region string `toml:"region"` // of this node; default: its zone
-	Mesh   *Mesh  `toml:"mesh"`   // nil: no membership
+	Name   string    `toml:"name"`   // of the fleet; processes of other fleets are strangers
+	Region string    `toml:"region"` // of this node; default: its zone
+	Mesh   *Mesh     `toml:"mesh"`   // nil: no membership
+	Orders *struct{} `toml:"orders"` // nil: no overrides
 }
 
 // Mesh configures membership.
@@ -60,6 +61,9 @@
 	if c.Mesh != nil {
 		c.Mesh.check(bad)
 	}
+	if c.Orders != nil && c.Mesh == nil {
+		bad("orders", "needs [mesh]")
+	}
 	return c, errors.Join(all...)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,10 +30,11 @@
 		{"saskatoon", ""}: "fleet.toml:1: name: ",
 		{`127.0.0.1:5002"` + "\nseeds", "nowhere\"\nseeds"}: "fleet.toml:3: mesh.listen: ",
 		{"127.0.0.1:5002\"\nseeds", "localhost:1\"\nseeds"}: `fleet.toml:3: mesh.listen: "localhost" is no IPv4 address`,
-		{"n2=", "n1="}:                            `fleet.toml:4: mesh.seeds: "n1=127.0.0.2:5002" is not NAME=ADDRESS with a name of its own`,
-		{`"127.0.0.3:40000"`, `"x"`}:              "mesh.dial: n2 = \"x\"",
-		{"[mesh]\n", "[mesh]\nprobe = \"1ms\"\n"}: "fleet.toml:3: mesh.probe: must be from",
-		{"[mesh]\n", "[mesh]\nprobes = 1\n"}:      "fleet.toml:3: mesh.probes: unknown key",
+		{"n2=", "n1="}:                               `fleet.toml:4: mesh.seeds: "n1=127.0.0.2:5002" is not NAME=ADDRESS with a name of its own`,
+		{`"127.0.0.3:40000"`, `"x"`}:                 "mesh.dial: n2 = \"x\"",
+		{"[mesh]\n", "[mesh]\nprobe = \"1ms\"\n"}:    "fleet.toml:3: mesh.probe: must be from",
+		{"[mesh]\n", "[orders]\nmost = 1\n[mesh]\n"}: "orders.most: unknown key",
+		{"[mesh]\n", "[mesh]\nprobes = 1\n"}:         "fleet.toml:3: mesh.probes: unknown key",
 	} {
 		_, err := load(t, strings.Replace(good, change[0], change[1], 1))
 		if err == nil || !strings.Contains(err.Error(), want) {
@@ -44,6 +45,9 @@
 	if err != nil || c.Mesh == nil || c.Mesh.Probe != 400*time.Millisecond || c.Mesh.Dial["n2"] == "" {
 		t.Errorf("%+v, %v", c, err)
 	}
+	if _, err := load(t, "name = \"x\"\n[orders]\n"); err == nil || !strings.Contains(err.Error(), "fleet.toml:2: orders: needs [mesh]") {
+		t.Errorf("overrides without a mesh: %v", err)
+	}
 	if c, err := load(t, `name = "x"`); err != nil || c.Mesh != nil {
 		t.Errorf("without [mesh]: %+v, %v", c, err)
 	}
--- /dev/null
+++ b/internal/lab/overrides.go
@@ -0,0 +1,172 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Order calls /control/overrides/ID at the node's door; body may be empty. It returns the answer's status.
+func (n *Node) Order(ctx context.Context, method, id, body string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.Control()+"/control/overrides/"+id, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := asker.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// InForce asks the node's door which overrides act there, and how long they have left.
+func (n *Node) InForce(ctx context.Context) (map[string]time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control()+"/control/overrides", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := asker.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var v struct {
+		InForce []struct {
+			ID   string        `json:"id"`
+			Left time.Duration `json:"left"`
+		} `json:"in_force"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil || resp.StatusCode != http.StatusOK {
+		return nil, errors.Join(err, fmt.Errorf("%s answered %s", n.name, resp.Status))
+	}
+	all := map[string]time.Duration{}
+	for _, f := range v.InForce {
+		all[f.ID] = f.Left
+	}
+	return all, nil
+}
+
+func away(zone string, lasts time.Duration) string {
+	return fmt.Sprintf(`{"kind":"evacuate","scope":%q,"reason":"lab","author":"lab","for":%q}`, zone, lasts)
+}
+
+// issue orders until some door takes it, and returns when the last call that did was made.
+func (s *study) issue(ctx context.Context, by *Node, id, body string) (at time.Duration, err error) {
+	_, err = s.until(ctx, id+" is taken", func() bool {
+		at = s.lab.now()
+		status, err := by.Order(ctx, http.MethodPut, id, body)
+		return err == nil && status == http.StatusOK
+	})
+	return at, err
+}
+
+// acts waits until an override acts, or does not, on some nodes, and books how long that took from a time on.
+func (s *study) acts(ctx context.Context, on []*Node, id string, want bool, figure string, from time.Duration) error {
+	for _, n := range on {
+		if _, err := s.until(ctx, figure+" at "+n.name, func() bool {
+			all, err := n.InForce(ctx)
+			_, is := all[id]
+			return err == nil && is == want
+		}); err != nil {
+			return err
+		}
+		if figure != "" {
+			s.times[figure] = append(s.times[figure], s.lab.now()-from)
+		}
+	}
+	return nil
+}
+
+// overrides issues overrides at any door under a condition of all links, revokes some, and lets the others end. One node is
+// cut off, and one stopped, across all of that.
+func (s *study) overrides(ctx context.Context, c Cond) error {
+	const lasts = 6 * time.Second
+	last := len(s.nodes) - 1
+	lone, asleep, rest := s.nodes[last], s.nodes[last-1], s.nodes[:last-1]
+	s.lab.SetLink("n*", "n*", c)
+	for round := range 2 {
+		by := rest[(int(s.seed)+round)%len(rest)]
+		id := fmt.Sprint("revoked-", round)
+		at, err := s.issue(ctx, by, id, away("x", time.Minute))
+		if err == nil {
+			err = s.acts(ctx, s.nodes, id, true, "issued: in force", at)
+		}
+		if err != nil {
+			return err
+		}
+		revoked := s.lab.now()
+		if _, err = s.until(ctx, "the revocation is taken", func() bool {
+			revoked = s.lab.now()
+			status, err := by.Order(ctx, http.MethodDelete, id, "")
+			return err == nil && (status == http.StatusOK || status == http.StatusNotFound)
+		}); err == nil {
+			err = s.acts(ctx, s.nodes, id, false, "revoked: out of force", revoked)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	at, err := s.issue(ctx, rest[1], "ends", away("x", lasts))
+	if err == nil {
+		err = s.acts(ctx, s.nodes, "ends", true, "issued: in force", at)
+	}
+	if err != nil {
+		return err
+	}
+	s.lab.SetLink("n*", lone.name, Cond{Cut: true})
+	s.lab.SetLink(lone.name, "n*", Cond{Cut: true})
+	if err := asleep.Stop(); err != nil {
+		return err
+	}
+	ended := map[*Node]bool{}
+	for s.lab.now()-at < lasts+time.Second {
+		for _, n := range append(rest[:len(rest):len(rest)], lone) {
+			asked := s.lab.now()
+			all, err := n.InForce(ctx)
+			_, is := all["ends"]
+			switch {
+			case err != nil:
+			case is && asked-at > lasts+200*time.Millisecond: // 200 ms: the call itself, and what a busy machine adds to it
+				s.count["acts past its end"]++
+			case !is && !ended[n]:
+				ended[n] = true
+				s.times["ended early by"] = append(s.times["ended early by"], max(0, lasts-(s.lab.now()-at)))
+			}
+		}
+		if !sleep(ctx, 20*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	at, err = s.issue(ctx, rest[0], "missed", away("y", time.Minute))
+	if err == nil {
+		err = s.acts(ctx, rest, "missed", true, "", at)
+	}
+	if err != nil {
+		return err
+	}
+	woken := s.lab.now()
+	if err := asleep.Continue(); err != nil {
+		return err
+	}
+	if all, err := asleep.InForce(ctx); err == nil {
+		if _, is := all["ends"]; is {
+			s.count["acts past its end"]++
+		}
+	}
+	s.lab.SetLink("n*", "n*", c)
+	if err := s.acts(ctx, []*Node{asleep}, "missed", true, "woken: reconciled", woken); err != nil {
+		return err
+	}
+	if err := s.acts(ctx, []*Node{lone}, "missed", true, "cut healed: reconciled", woken); err != nil {
+		return err
+	}
+	if s.count["acts past its end"] > 0 {
+		return errors.New("an override acted past its end")
+	}
+	return nil
+}
--- a/internal/lab/study.go
+++ b/internal/lab/study.go
@@ -87,6 +87,10 @@
 	{Name: "restart at once", play: (*study).restartOne},
 	{Name: "all restart at once", play: (*study).restartAll},
 	{Name: "seeds dead at start", Nodes: 8, play: (*study).seedsDead},
+	{Name: "overrides", Nodes: 8, play: func(s *study, ctx context.Context) error { return s.overrides(ctx, Cond{}) }},
+	{Name: "overrides, 20% loss", Nodes: 8, play: func(s *study, ctx context.Context) error {
+		return s.overrides(ctx, Cond{Loss: 0.2, Jitter: 50 * time.Millisecond})
+	}},
 	{Name: "flood", Nodes: 8, play: (*study).flood},
 	{Name: "half a processor", Nodes: 8, play: (*study).halfProcessor},
 	{Name: "two of one name", Nodes: 8, play: (*study).twoOfOneName, Bare: true},
@@ -97,7 +101,7 @@
 	if sc.Nodes > 0 {
 		nodes = sc.Nodes
 	}
-	w := World{Binary: binary, Seed: seed, Links: []string{"n*->n*"}, Fleet: Tables{"mesh": map[string]any{"probe": probe.String()}},
+	w := World{Binary: binary, Seed: seed, Links: []string{"n*->n*"}, Fleet: Tables{"mesh": map[string]any{"probe": probe.String()}, "orders": map[string]any{}},
 		Tiers:   []Tier{{Name: "front", Nodes: nodes, Servers: 1}},
 		Classes: []Class{{Name: "view", Effect: "read_like", Share: 1, Work: []time.Duration{time.Millisecond}, Aim: time.Second, Deadline: time.Second}}}
 	if sc.Bare {
--- a/internal/mesh/council.go
+++ b/internal/mesh/council.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"time"
 )
@@ -147,14 +148,15 @@
 	Missing []string `json:"m,omitempty"`  // of the roster, as the sender sees it; the first few
 	Digest  uint64   `json:"d,omitempty"`  // of the sender's view
 
-	Kind  messageKind   `json:"k,omitempty"`
-	For   uint64        `json:"t,omitempty"` // the process whose clock a poll's Vote or a vote's Poll is
-	Poll  time.Duration `json:"q,omitempty"` // the leader's clock at the poll
-	Vote  time.Duration `json:"v,omitempty"` // the voter's clock at the vote; in a poll, at its last one
-	Left  time.Duration `json:"l,omitempty"` // in a poll: for how long from that vote's coming the majority is certain
-	Holds bool          `json:"h,omitempty"` // in a poll: the leader has the majority, and its roster holds
-	Whole bool          `json:"w,omitempty"` // in a poll: all of the roster live
-	About string        `json:"a,omitempty"` // in an inquiry: the process, by its name within memberlist
+	Kind  messageKind     `json:"k,omitempty"`
+	For   uint64          `json:"t,omitempty"` // the process whose clock a poll's Vote or a vote's Poll is
+	Poll  time.Duration   `json:"q,omitempty"` // the leader's clock at the poll
+	Vote  time.Duration   `json:"v,omitempty"` // the voter's clock at the vote; in a poll, at its last one
+	Left  time.Duration   `json:"l,omitempty"` // in a poll: for how long from that vote's coming the majority is certain
+	Holds bool            `json:"h,omitempty"` // in a poll: the leader has the majority, and its roster holds
+	Whole bool            `json:"w,omitempty"` // in a poll: all of the roster live
+	Body  json.RawMessage `json:"y,omitempty"`
+	About string          `json:"a,omitempty"` // in an inquiry: the process, by its name within memberlist
 }
 
 type messageKind int
@@ -169,6 +171,7 @@
 	ask  // is a process there, or does it answer you?
 	here
 	vouch
+	carry // a body of another part of the program
 )
 
 func newCouncil(self string, process uint64, seeds []string, now time.Duration) *council {
--- a/internal/mesh/evidence.go
+++ b/internal/mesh/evidence.go
@@ -242,12 +242,24 @@
 				}
 			}
 		}
+	case carry:
+		if m.cfg.Deliver != nil {
+			m.cfg.Deliver(msg.From, msg.Body)
+		}
 	default:
 		return false
 	}
 	return true
 }
 
+// Tell sends a body, in JSON, to a member; it may be lost.
+func (m *Mesh) Tell(to string, body []byte) {
+	m.ask(func() { m.send(to, message{From: m.cfg.Name, Process: m.process, Kind: carry, Body: body}) })
+}
+
+// Process is this process's number, which no other has.
+func (m *Mesh) Process() uint64 { return m.process }
+
 // number is the process's number, as its frames have it.
 func (p *process) number() uint64 {
 	_, hex, _ := strings.Cut(p.member, nameSeparator)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -75,8 +75,10 @@
 	Under   uint64 // the leading process that has proved a majority
 	Members []Member
 	Digest  uint64
-	Roster  int  // members that the side is computed against
-	Settled bool // no change of the roster is under way
+	Roster  int      // members that the side is computed against
+	Settled bool     // no change of the roster is under way
+	Leader  string   // the name of Under; "": none is proved
+	Names   []string // of the roster, sorted; not to be changed
 
 	until time.Duration // of the side's proof, by the mesh's clock
 }
@@ -91,8 +93,9 @@
 	Dial                      map[string]string
 	Probe                     time.Duration
 	Log                       *slog.Logger
-	Started                   time.Time  // of the process, by its wall clock; default: now
-	Changed                   func(View) // is told by the mesh's goroutine whenever the view may have changed; must not block; may be nil
+	Started                   time.Time                      // of the process, by its wall clock; default: now
+	Deliver                   func(from string, body []byte) // takes what another's Tell sent; must not block; may be nil
+	Changed                   func(View)                     // is told by the mesh's goroutine whenever the view may have changed; must not block; may be nil
 }
 
 // Bounds and times.
@@ -368,7 +371,7 @@
 func (m *Mesh) View() View {
 	v, now := *m.view.Load(), m.now()
 	if v.Side >= Majority && now >= v.until {
-		v.Side, v.Under = Minority, 0
+		v.Side, v.Under, v.Leader = Minority, 0, ""
 	}
 	v.Members = slices.Clone(v.Members)
 	for i := range v.Members {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -106,6 +106,9 @@
 	if self := m.shown[m.cfg.Name]; m.outUntil != 0 || self.State == Left {
 		v.Side, v.Under = Alone, 0 // not of the fleet, for now or any more
 	}
+	if v.Names = m.council.roster; before == nil || v.Under != before.Under || v.Side != before.Side || v.Leader == "" {
+		v.Leader = m.leaderName(v)
+	}
 	m.view.Store(v)
 	if before == nil || before.Side != v.Side || before.Epoch != v.Epoch {
 		m.log.Info("view", "side", v.Side.String(), "epoch", fmt.Sprintf("%d/%s", v.Epoch.Number, v.Epoch.Leader),
@@ -119,6 +122,22 @@
 	}
 }
 
+// leaderName is the name of the process that has proved a majority to this one.
+func (m *Mesh) leaderName(v *View) string {
+	if v.Side < Majority {
+		return ""
+	}
+	if v.Under == m.process {
+		return m.cfg.Name
+	}
+	for _, p := range m.processes {
+		if p.number() == v.Under {
+			return p.name
+		}
+	}
+	return ""
+}
+
 // rebuild makes the members anew, and what the council is to see.
 func (m *Mesh) rebuild(now time.Duration) {
 	all := m.members()
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,7 +20,8 @@
 type door struct {
 	life    *lifecycle
 	members func() ([]byte, bool) // JSON; false: there is no mesh
-	usable  func() bool           // callers are served here, and some server is known to be in service
+	orders  *atomic.Pointer[overrides]
+	usable  func() bool // callers are served here, and some server is known to be in service
 	loop    *loop
 }
 
@@ -45,6 +48,10 @@
 }
 
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if o := d.orders.Load(); o != nil && (r.URL.Path == "/control/overrides" || strings.HasPrefix(r.URL.Path, "/control/overrides/")) {
+		o.ServeHTTP(w, r)
+		return
+	}
 	calls := map[string]struct {
 		method string
 		answer func(http.ResponseWriter)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -42,10 +42,17 @@
 // startMesh joins the fleet.
 func (n *Node) startMesh() (*mesh.Mesh, error) {
 	f, s := n.cfg.Fleet, n.cfg.Settings
-	return mesh.Start(mesh.Config{Fleet: f.Name, Name: n.cfg.Name, Zone: s.Zone, Region: f.Region, Tier: s.Tier,
+	return mesh.Start(mesh.Config{Deliver: n.deliver, Fleet: f.Name, Name: n.cfg.Name, Zone: s.Zone, Region: f.Region, Tier: s.Tier,
 		Version: version(), Digest: digest(s), Listen: f.Mesh.Listen, Seeds: f.Mesh.Seeds, Dial: f.Mesh.Dial, Probe: f.Mesh.Probe, Log: n.log, Changed: n.count})
 }
 
+// deliver takes what another member's part of the program sends.
+func (n *Node) deliver(from string, body []byte) {
+	if o := n.orders.Load(); o != nil {
+		o.deliver(from, body)
+	}
+}
+
 // count tells the module how many copies place calls on this tier, by zone. Only a majority knows; the others leave it
 // at the settings' number, which is safe: too few copies counted would be too much taken by each.
 func (n *Node) count(v mesh.View) {
@@ -94,7 +101,18 @@
 func (n *Node) takePart(ctx context.Context, m *mesh.Mesh) {
 	for {
 		n.mesh.Store(m)
+		ordering, stop := context.WithCancel(ctx)
+		var o *overrides
+		if n.cfg.Fleet.Orders != nil { // a new process of the mesh has a register of its own, which knows nothing yet
+			o = n.newOverrides(m.Process())
+			n.orders.Store(o)
+			go o.run(ordering)
+		}
 		passed := n.keepPlace(ctx, m)
+		stop()
+		if o != nil {
+			<-o.ended
+		}
 		if ctx.Err() != nil {
 			if passed {
 				m.Close()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -112,8 +112,9 @@
 	results  chan result
 	sents    chan sent
 	begins   chan begun
-	peers    chan deckrelay.Peers // holds the newest word of the mesh
-	asks     chan func()          // run here; must not block
+	peers    chan deckrelay.Peers          // holds the newest word of the mesh
+	ordered  chan map[string]time.Duration // holds the zones that overrides send away, with their ends
+	asks     chan func()                   // run here; must not block
 	stop     chan struct{}
 
 	calls   map[string]*call
@@ -123,15 +124,17 @@
 	out     int // attempts without an ending
 	turns   int // of zones, as of the last look
 	zones   map[string]deckrelay.ZoneState
-	lines   *rate.Limiter // of zones in the log
-	quiet   int           // of these that were left out
-	usable  atomic.Bool   // some listed server is in service
+	lines   *rate.Limiter            // of zones in the log
+	quiet   int                      // of these that were left out
+	usable  atomic.Bool              // some listed server is in service
+	byHand  map[string]bool          // zones ordered away at this node's door
+	until   map[string]time.Duration // zones that overrides send away, and when each ends
 }
 
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer, st *stats) *loop {
 	return &loop{clock: ck, log: log, bal: bal, stats: st,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), sents: make(chan sent), begins: make(chan begun), peers: make(chan deckrelay.Peers, 1), asks: make(chan func()), stop: make(chan struct{}),
+		results: make(chan result), sents: make(chan sent), begins: make(chan begun), peers: make(chan deckrelay.Peers, 1), ordered: make(chan map[string]time.Duration, 1), byHand: map[string]bool{}, asks: make(chan func()), stop: make(chan struct{}),
 		zones: map[string]deckrelay.ZoneState{}, lines: rate.NewLimiter(zoneLines, 2*zoneLines), calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -162,6 +165,8 @@
 		select {
 		case p := <-l.peers:
 			l.handle(p)
+		case o := <-l.ordered:
+			l.takeOrders(o)
 		case n := <-l.lists:
 			l.takeNews(n)
 		case c := <-l.arrivals:
@@ -206,6 +211,11 @@
 // handle gives one event to the module and carries out what it answers.
 func (l *loop) handle(e deckrelay.Event) {
 	now := l.clock.now()
+	l.endOrders(now)
+	l.carry(now, e)
+}
+
+func (l *loop) carry(now time.Duration, e deckrelay.Event) {
 	for _, a := range l.bal.Handle(now, e) {
 		switch a := a.(type) {
 		case deckrelay.Send:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	inbound *bounded // callers' connections; nil until it listens
 
 	mesh   atomic.Pointer[mesh.Mesh] // nil: no fleet configuration asks for one
+	orders atomic.Pointer[overrides] // of the mesh; nil: no fleet configuration asks for any
 	served chan struct{}             // holds a token after the phase has changed; for the mesh
 
 	open     atomic.Bool // callers are served here, and the process before knows
@@ -204,7 +205,7 @@
 	}
 	var operators *http.Server
 	if doorAt != nil {
-		operators = newDoor(&door{members: n.members, life: n.life, loop: n.loop,
+		operators = newDoor(&door{members: n.members, orders: &n.orders, life: n.life, loop: n.loop,
 			usable: func() bool { return n.open.Load() && n.loop.usable.Load() }}, n.log)
 		own(func() {
 			if err := operators.Serve(bound(doorAt, doorPlaces, newStats(nil))); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/internal/node/overrides_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// An override ends in the loop, before anything else is decided, though nobody tells it: its host may have slept.
+func TestOverrideEndsWithoutItsHost(t *testing.T) {
+	x, y := newBackend(t, ok), newBackend(t, ok)
+	a, b := inService("s-1", x.addr()), inService("s-2", y.addr())
+	a.Site, b.Site = "x", "y"
+	n := start(t, testConfig(t, "pushed", a, b))
+	ordered := func() (is bool) {
+		n.loop.ask(func() {
+			for _, z := range n.loop.bal.Zones() {
+				is = is || z.Name == "x" && z.Ordered
+			}
+		})
+		return is
+	}
+	end := n.loop.clock.now() + 300*time.Millisecond
+	n.loop.ordered <- map[string]time.Duration{"x": end}
+	until(t, "the zone is ordered away", ordered)
+	until(t, "the override is over", func() bool { return n.loop.clock.now() >= end })
+	if status, _, _ := do(t, newRequest(t, n.url, "keyed", "1", "x")); status != http.StatusOK || ordered() {
+		t.Errorf("answered %d; after a request past the end the zone is ordered away: %v", status, ordered())
+	}
+}
+
+// The door's own order and an override hold a zone away each by itself.
+func TestOrderByHandOutlivesAnOverride(t *testing.T) {
+	b := newBackend(t, ok)
+	n := start(t, testConfig(t, "pushed", inService("s-1", b.addr())))
+	n.loop.ask(func() {
+		l, now := n.loop, n.loop.clock.now()
+		l.takeOrders(map[string]time.Duration{"z": now + time.Hour})
+		l.orderZone("z", true, true)
+		l.takeOrders(nil)
+		if !l.bal.Zones()[0].Ordered {
+			t.Error("the end of the override ended the door's order")
+		}
+		l.takeOrders(map[string]time.Duration{"z": now + time.Hour})
+		l.orderZone("z", false, false)
+		if !l.bal.Zones()[0].Ordered {
+			t.Error("the end of the door's order ended the override")
+		}
+	})
+}
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -95,7 +96,7 @@
 	switch {
 	case i < 0:
 		return http.StatusNotFound
-	case all[i].Ordered == away:
+	case l.byHand[name] == away:
 		return http.StatusOK
 	case away && !force && !slices.ContainsFunc(all, func(z deckrelay.Zone) bool {
 		return z.Name != name && z.Servers > 0 && z.State != deckrelay.ZoneEvacuated
@@ -103,6 +104,41 @@
 		return http.StatusConflict
 	}
 	l.log.Info("zone ordered", "name", name, "away", away, "force", force)
-	l.handle(deckrelay.ZoneOrder{Zone: name, Away: away})
+	l.byHand[name] = away
+	l.order(l.clock.now(), name)
 	return http.StatusOK
 }
+
+// order tells the module whether a zone is ordered away, by hand or by an override in force.
+func (l *loop) order(now time.Duration, zone string) {
+	l.carry(now, deckrelay.ZoneOrder{Zone: zone, Away: l.byHand[zone] || now < l.until[zone]})
+}
+
+// takeOrders takes over what overrides send away now.
+func (l *loop) takeOrders(until map[string]time.Duration) {
+	before, now := l.until, l.clock.now()
+	l.until = until
+	for _, zone := range slices.Sorted(maps.Keys(before)) {
+		if _, still := until[zone]; !still {
+			l.log.Info("override over", "zone", zone)
+			l.order(now, zone)
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(until)) {
+		if _, was := before[zone]; !was {
+			l.log.Info("override in force", "zone", zone, "left", until[zone]-now)
+			l.order(now, zone)
+		}
+	}
+}
+
+// endOrders ends what is over before anything else is decided: a process that slept through an end wakes without it.
+func (l *loop) endOrders(now time.Duration) {
+	for _, zone := range slices.Sorted(maps.Keys(l.until)) {
+		if now >= l.until[zone] {
+			delete(l.until, zone)
+			l.log.Info("override ended", "zone", zone)
+			l.order(now, zone)
+		}
+	}
+}
