--- /dev/null
+++ b/internal/lab/apply.go
@@ -0,0 +1,192 @@
+// Carrying a schedule of faults out.
+
+package lab
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Play carries out steps at their times, counted from now. told hears of each, and of what went wrong. It returns when
+// the last is done, or once ctx ends.
+func (l *Lab) Play(ctx context.Context, steps []Step, told func(at time.Duration, what string)) {
+	began := l.now()
+	var late sync.WaitGroup
+	defer late.Wait()
+	for _, s := range steps {
+		if !sleepUntil(l.began.Add(began+s.At), ctx.Done()) {
+			return
+		}
+		told(l.now()-began, s.String())
+		late.Add(1)
+		go func() { // some take a while: a node that is to be ready again
+			defer late.Done()
+			if err := l.Apply(ctx, s); err != nil && ctx.Err() == nil {
+				told(l.now()-began, fmt.Sprintf("%s: %v", s, err))
+			}
+		}()
+	}
+}
+
+// Apply carries out one step now.
+func (l *Lab) Apply(ctx context.Context, s Step) error {
+	f := s.Fault
+	node, server := l.nodes[s.Target], l.servers[s.Target]
+	switch f.Kind {
+	case "kill":
+		if !s.Ends {
+			node.Kill()
+			return nil
+		}
+		return node.restart(ctx)
+	case "term":
+		if node.Terminate() {
+			l.referee.find(Crash, "", node.name, "did not end in time after SIGTERM")
+		}
+		if !sleep(ctx, f.For) {
+			return nil
+		}
+		return node.restart(ctx)
+	case "stop":
+		if !s.Ends {
+			return node.Stop()
+		}
+		return node.Continue()
+	case "crash":
+		if !s.Ends {
+			server.crash()
+			return nil
+		}
+		return l.revive(ctx, server)
+	case "slow", "errors", "hang":
+		t := Trouble{}
+		if !s.Ends {
+			t = Trouble{Slow: f.Factor, Errors: f.Share, Hang: f.Kind == "hang"}
+		}
+		server.Set(t)
+	case "silent":
+		server.silence(!s.Ends)
+	case "drain":
+		l.Drain(server, f.For)
+	case "replace":
+		if !s.Ends {
+			l.Drain(server, 0)
+			return nil
+		}
+		server.crash()
+		return l.revive(ctx, server)
+	case "zone":
+		return l.zone(ctx, s)
+	case "cut", "split", "link":
+		return l.linkFault(s)
+	case "reset":
+		if l.ResetLink(f.From, f.To) == 0 {
+			return errNoLink
+		}
+	case "disc_down", "disc_fail", "disc_slow", "disc_dumb", "disc_trickle", "disc_cut", "disc_indent":
+		o := Outage{}
+		if !s.Ends {
+			o = Outage{Down: f.Kind == "disc_down", Fail: f.Kind == "disc_fail", Slow: f.Delay, Dumb: f.Kind == "disc_dumb",
+				Trickle: f.Kind == "disc_trickle", Cut: f.Kind == "disc_cut", Indent: f.Kind == "disc_indent"}
+		}
+		l.Discovery(o)
+	case "disc_mute":
+		l.disc.mute()
+	case "disc_renumber":
+		l.disc.renumber(f.Factor > 1)
+	}
+	return nil
+}
+
+var errNoLink = fmt.Errorf("no link of the world matches")
+
+func (l *Lab) linkFault(s Step) error {
+	f := s.Fault
+	c := Cond{Delay: f.Delay, Jitter: f.Jittered, Loss: f.Loss, Dup: f.Dup, Reorder: f.Reorder, Rate: f.Rate, Cut: f.Kind != "link"}
+	if s.Ends {
+		c = Cond{}
+	}
+	n := l.SetLink(f.From, f.To, c)
+	if f.Kind == "split" {
+		n += l.SetLink(f.To, f.From, c)
+	}
+	if n == 0 {
+		return errNoLink
+	}
+	return nil
+}
+
+// restart starts a node that has ended and waits until it is ready.
+func (n *Node) restart(ctx context.Context) error {
+	if err := n.Start(); err != nil {
+		return err
+	}
+	return n.Up(ctx)
+}
+
+// revive starts a crashed server again, and lists it once its node is ready.
+func (l *Lab) revive(ctx context.Context, s *Server) error {
+	if err := s.restart(); err != nil {
+		return err
+	}
+	if s.own != nil {
+		if err := s.own.Up(ctx); err != nil {
+			return err
+		}
+	}
+	l.disc.publish(s.tier, s.entry(), -1)
+	return nil
+}
+
+// zone takes a whole zone away, or brings it back cold.
+func (l *Lab) zone(ctx context.Context, s Step) error {
+	var inside []*Server
+	for _, server := range l.servers {
+		if server.zone == s.Target {
+			inside = append(inside, server)
+		}
+	}
+	for _, n := range l.front.nodes {
+		if n.zone != s.Target || !s.Fault.Nodes {
+			continue
+		}
+		if !s.Ends {
+			if err := n.Stop(); err != nil {
+				return err
+			}
+			continue
+		}
+		n.Kill()
+		if err := n.Start(); err != nil {
+			return err
+		}
+		l.own(func() { n.Up(ctx) }) // the front sees it anyway
+	}
+	for _, server := range inside {
+		if !s.Ends {
+			server.silence(true)
+			if server.own != nil {
+				server.own.Stop() // fails where it has ended
+			}
+			gone := server.entry()
+			gone.Health = "terminated"
+			l.disc.publish(server.tier, gone, s.Fault.Late+l.disc.late)
+		}
+	}
+	if !s.Ends {
+		return nil
+	}
+	var all sync.WaitGroup
+	for _, server := range inside {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			server.crash()
+			l.revive(ctx, server) // a node that does not come back is a finding of its own
+		}()
+	}
+	all.Wait()
+	return nil
+}
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -8,18 +8,6 @@
 	"time"
 )
 
-// Outage is how discovery fails. The zero value is a well one.
-type Outage struct {
-	Down bool          // watches end, calls are refused by a reset
-	Fail bool          // calls end in 503; watches go on
-	Slow time.Duration // each call takes so much longer, and they are handled in turn
-
-	Dumb    bool // calls are taken and answered with nothing at all; watches that are open fall silent
-	Trickle bool // in place of lines come spaces without an end of line
-	Cut     bool // each list ends in its middle, and with it the connection
-	Indent  bool // lists come in many lines
-}
-
 // listed is an entry of discovery's list, without the address, which is each node's own.
 type listed struct {
 	Host   string  `json:"host"`
@@ -53,13 +41,6 @@
 	ears   map[*Node]*ear // what each node can hear
 }
 
-// ear is what a node is held to, by the page's clock.
-type ear struct {
-	watches int           // open and well
-	silent  time.Duration // since when its watch says nothing; 0: it does not
-	called  time.Duration // when it last asked, or its watch ended
-}
-
 const (
 	silentTold = 6 * time.Second  // what a silent watch misses counts as told so long after it fell silent
 	askWithin  = 10 * time.Second // the list that a node without a watch has will do so long after its last call
@@ -86,36 +67,6 @@
 	return d
 }
 
-func (d *discovery) set(o Outage) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.outage = o
-	d.wake()
-}
-
-// mute makes all watches that are open fall silent for good.
-func (d *discovery) mute() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mutes++
-	d.wake()
-}
-
-// renumber is a discovery that comes back with other numbers, and ends all watches.
-func (d *discovery) renumber(higher bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, t := range d.tiers {
-		if t.seq += 1000; !higher {
-			t.seq = 1
-		}
-		t.base, t.log = t.seq, nil
-	}
-	d.outage.Down = true
-	d.wake()
-	time.AfterFunc(50*time.Millisecond, func() { d.set(Outage{}) })
-}
-
 // wake makes watches look at once; d.mu is held.
 func (d *discovery) wake() {
 	for _, t := range d.tiers {
@@ -124,22 +75,6 @@
 	}
 }
 
-// heed says when a node counts as told of what changes now, if nothing is written to it before; d.mu is held.
-func (d *discovery) heed(n *Node) time.Duration {
-	now, e := d.lab.now(), d.ears[n]
-	switch {
-	case e == nil: // it has never asked
-		return now + askWithin
-	case e.silent > 0:
-		return max(now, e.silent+silentTold)
-	case e.watches > 0:
-		return now + silentTold
-	case d.lab.world.Discovery.Asked || d.outage.Down || d.outage.Fail:
-		return max(now, e.called+askWithin)
-	}
-	return now // the agent has it, and the node has no watch
-}
-
 // publish tells of a server after so long; the world's figure if late is negative.
 func (d *discovery) publish(tier int, h listed, late time.Duration) {
 	if late < 0 {
@@ -280,36 +215,6 @@
 	d.watch(n, w, r, from, e)
 }
 
-// hear changes what a node can hear.
-func (d *discovery) hear(n *Node, f func(*ear)) *ear {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ears[n] == nil {
-		d.ears[n] = &ear{}
-	}
-	f(d.ears[n])
-	return d.ears[n]
-}
-
-// silent says nothing until the caller leaves.
-func (d *discovery) silent(r *http.Request) {
-	select {
-	case <-r.Context().Done():
-	case <-d.lab.done:
-	}
-}
-
-func (d *discovery) hangUp(w http.ResponseWriter) {
-	if h, ok := w.(http.Hijacker); ok {
-		if c, _, err := h.Hijack(); err == nil {
-			if g, ok := c.(*gatedConn); ok {
-				g.reset()
-			}
-			c.Close()
-		}
-	}
-}
-
 // watch writes what changed, then each change as it comes, and an empty line every 2 s.
 func (d *discovery) watch(n *Node, w http.ResponseWriter, r *http.Request, from int64, e *ear) {
 	flush := http.NewResponseController(w)
@@ -383,22 +288,6 @@
 	return true
 }
 
-// told lets the referee know what a node has heard.
-func (d *discovery) told(n *Node, news rosterNews) {
-	listedNow := map[string]bool{}
-	for _, h := range news.Hosts {
-		d.lab.referee.tell(n.name, h.Host, h.Health == "in_service", d.lab.now())
-		listedNow[h.Host] = true
-	}
-	if news.Whole {
-		for name, s := range d.lab.servers {
-			if s.tier == n.tier && !listedNow[name] {
-				d.lab.referee.tell(n.name, name, false, d.lab.now())
-			}
-		}
-	}
-}
-
 func (d *discovery) close() {
 	d.mu.Lock()
 	gates := d.gates
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,17 +9,11 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
-	"path"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const mostNodes = 240 // of one lab
@@ -57,31 +50,6 @@
 	udp   map[string]*udpLink // beside some of them, at the same address
 }
 
-// Node is one keelusher process, or the place of one.
-type Node struct {
-	name, zone string
-	called     string // the name that the process is told; its own, but for a twin's
-	tier       int
-	self       int
-	lab        *Lab
-	ip         string
-	discovery  string
-	process    *process
-	starts     int
-}
-
-// Name is the node's name, the same after a restart.
-func (n *Node) Name() string { return n.name }
-
-// Listen is the address at which callers connect.
-func (n *Node) Listen() string { return net.JoinHostPort(n.ip, "5000") }
-
-// Control is the address of the operators' door.
-func (n *Node) Control() string { return net.JoinHostPort(n.ip, "5001") }
-
-// Log is the file that holds what the process said, through all its starts.
-func (n *Node) Log() string { return n.process.logPath() }
-
 // Blocks of loopback addresses, 127.N.0.0/16 each.
 const (
 	firstBlock = 10
@@ -208,158 +176,6 @@
 	return nil
 }
 
-// NodeOf names the node that belongs to a server and calls the next tier for it.
-func NodeOf(server string) string { return "n@" + server }
-
-func (l *Lab) newNode(name, zone string, tier, self int) (*Node, error) {
-	i := len(l.order)
-	if i >= mostNodes {
-		return nil, fmt.Errorf("more than %d nodes", mostNodes)
-	}
-	n := &Node{name: name, called: name, zone: zone, tier: tier, self: self, lab: l, ip: fmt.Sprintf("127.%d.1.%d", l.net, 10+i)}
-	var err error
-	if n.discovery, err = l.disc.serve(n); err != nil {
-		return nil, err
-	}
-	n.discovery = l.linkAddr(name, "discovery", n.discovery)
-	dir := filepath.Join(l.dir, strings.ReplaceAll(name, "@", "-"))
-	if err := os.MkdirAll(filepath.Join(dir, "tmp"), 0o700); err != nil {
-		return nil, err
-	}
-	n.process = &process{name: name, dir: dir, spawner: l.spawner, ended: n.ended, command: func() *exec.Cmd {
-		c := exec.Command(l.world.Binary, l.world.Args...)
-		c.Dir = dir
-		c.Env = append(append(os.Environ(), l.world.Env...), "ROUTER_NAME="+n.called, "ROUTER_LISTEN="+n.Listen(),
-			"ROUTER_DISCOVERY="+n.discovery, "ROUTER_CONFIG="+filepath.Join(dir, "config.json"), "TMPDIR="+filepath.Join(dir, "tmp"))
-		return c
-	}}
-	l.nodes[name] = n
-	l.order = append(l.order, n)
-	return n, nil
-}
-
-// configure writes the node's configuration as the platform does.
-func (n *Node) configure() error {
-	w := &n.lab.world
-	n.starts++
-	path, err := n.lab.writeFleet(n)
-	if err != nil {
-		return err
-	}
-	text, err := json.Marshal(map[string]any{
-		"fleet": path,
-		"name":  n.called, "listen": n.Listen(), "control": n.Control(), "discovery": n.discovery,
-		"seed":     fmt.Sprintf("%016x", xxhash.Sum64String(n.name)^w.Seed^uint64(n.starts)<<32),
-		"limits":   map[string]any{"cores": w.Limits.Cores, "memory_mb": w.Limits.MemoryMB, "sockets": w.Limits.Sockets},
-		"known":    n.lab.disc.known(n),
-		"settings": w.settings(n.tier, n.self, n.zone),
-	})
-	if err != nil {
-		panic(err) // plain values
-	}
-	return os.WriteFile(filepath.Join(n.process.dir, "config.json"), text, 0o600)
-}
-
-// Start starts the process; it must not be running, and its address must be free.
-func (n *Node) Start() error {
-	ln, err := net.Listen("tcp", n.Listen())
-	if err != nil {
-		return fmt.Errorf("the address of %s is taken: %w: %w", n.name, errTaken, err)
-	}
-	ln.Close()
-	if err := n.configure(); err != nil {
-		return err
-	}
-	n.lab.referee.forget(n.name)
-	return n.process.start()
-}
-
-// Kill ends the process at once, with SIGKILL.
-func (n *Node) Kill() {
-	n.lab.spans.begin(n.name, n.lab.now())
-	n.process.kill()
-}
-
-// Terminate sends SIGTERM and waits for the end, which it brings by SIGKILL after the longest deadline and 0.7 s. It
-// says whether that was needed.
-func (n *Node) Terminate() (killed bool) {
-	longest := 3 * time.Second
-	for _, c := range n.lab.world.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	n.process.signal(syscall.SIGTERM) // fails only where it has ended
-	if _, over := n.process.running(); over != nil {
-		select {
-		case <-over:
-		case <-time.After(longest + 700*time.Millisecond):
-			n.process.kill()
-			killed = true
-		}
-	}
-	n.lab.spans.begin(n.name, n.lab.now())
-	return killed
-}
-
-// Stop halts the process with SIGSTOP, and Continue lets it go on.
-func (n *Node) Stop() error {
-	n.lab.spans.begin(n.name, n.lab.now())
-	return n.process.signal(syscall.SIGSTOP)
-}
-
-// Continue ends a Stop.
-func (n *Node) Continue() error {
-	err := n.process.signal(syscall.SIGCONT)
-	n.lab.spans.end(n.name, n.lab.now())
-	return err
-}
-
-// Usage is what the process takes now.
-func (n *Node) Usage() Usage { return n.process.usage() }
-
-// Ready asks the node whether clients may come.
-func (n *Node) Ready(ctx context.Context) bool {
-	yes, _ := ready(ctx, asker, n.Listen())
-	return yes
-}
-
-// ended is told of each end of the process.
-func (n *Node) ended(crash string) {
-	n.lab.linksTo(n.name, gateRefuse)
-	select {
-	case <-n.lab.done:
-		return
-	default:
-	}
-	n.lab.spans.begin(n.name, n.lab.now())
-	if crash != "" {
-		n.lab.referee.find(Crash, "", n.name, crash)
-	}
-}
-
-// Up waits until the process answers that clients may come; the front may take a moment longer.
-func (n *Node) Up(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, n.lab.world.Ready)
-	defer cancel()
-	for look := time.NewTicker(20 * time.Millisecond); ; {
-		if n.Ready(ctx) {
-			look.Stop()
-			n.lab.linksTo(n.name, gateOpen)
-			n.lab.spans.end(n.name, n.lab.now())
-			return nil
-		}
-		if running, _ := n.process.running(); !running {
-			look.Stop()
-			return fmt.Errorf("%s ended before it was ready; it said: %s", n.name, n.process.tail(2))
-		}
-		select {
-		case <-look.C:
-		case <-ctx.Done():
-			look.Stop()
-			return fmt.Errorf("%s never became ready at %s; it said: %s", n.name, n.Listen(), n.process.tail(2))
-		}
-	}
-}
-
 // startAll starts the last tier's nodes first, and waits until the front has all of its own.
 func (l *Lab) startAll(ctx context.Context) error {
 	for _, n := range l.order {
@@ -450,127 +266,6 @@
 	return h
 }
 
-// way returns the direction from one part to another.
-func (l *Lab) way(from, to string) *way {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.wayLocked(from, to)
-}
-
-func (l *Lab) wayLocked(from, to string) *way {
-	key := from + "->" + to
-	if l.ways[key] == nil {
-		l.ways[key] = newWay()
-	}
-	return l.ways[key]
-}
-
-// linked says whether a link is to have a proxy.
-func (l *Lab) linked(from, to string) bool {
-	for _, p := range l.world.Links {
-		a, b, _ := strings.Cut(p, "->")
-		if matches(a, from) && matches(b, to) || matches(a, to) && matches(b, from) {
-			return true
-		}
-	}
-	return false
-}
-
-func matches(pattern, name string) bool {
-	ok, _ := path.Match(pattern, name) // patterns were checked
-	return ok
-}
-
-// linkAddr is the address at which one part dials another, whose own address is target.
-func (l *Lab) linkAddr(from, to, target string) string {
-	if !l.linked(from, to) {
-		return target
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	key := from + "->" + to
-	if l.links[key] == nil {
-		link, err := newTCPLink(l.linkIP()+":0", target, l.wayLocked(from, to), l.wayLocked(to, from))
-		if err != nil {
-			return target // out of ports or descriptors: the fault then finds no link, and says so
-		}
-		l.links[key] = link
-	}
-	return l.links[key].gate.addr
-}
-
-func (l *Lab) nodeAddr(from string, n *Node) string { return l.linkAddr(from, n.name, n.Listen()) }
-func (l *Lab) serverAddr(n *Node, name string) string {
-	return l.linkAddr(n.name, name, l.servers[name].gate.addr)
-}
-
-// linksTo makes all links to a part meet new connections as the part does.
-func (l *Lab) linksTo(name string, mode gateMode) {
-	l.mu.Lock()
-	var to []*tcpLink
-	for key, link := range l.links {
-		if _, b, _ := strings.Cut(key, "->"); b == name {
-			to = append(to, link)
-		}
-	}
-	l.mu.Unlock()
-	for _, link := range to {
-		link.follow(mode)
-	}
-}
-
-// SetLink changes the direction from one part to another, both path patterns as in "n*" or "rooms-?", on every link of
-// the world that has a proxy. It returns how many directions that were.
-func (l *Lab) SetLink(from, to string, c Cond) (n int) {
-	l.mu.Lock()
-	touched := map[string]*way{}
-	for key := range l.links {
-		a, b, _ := strings.Cut(key, "->")
-		for _, d := range [][2]string{{a, b}, {b, a}} {
-			if matches(from, d[0]) && matches(to, d[1]) {
-				touched[d[0]+"->"+d[1]] = l.wayLocked(d[0], d[1])
-			}
-		}
-	}
-	var links []*tcpLink
-	for key, link := range l.links {
-		a, b, _ := strings.Cut(key, "->")
-		if touched[a+"->"+b] != nil || touched[b+"->"+a] != nil {
-			links = append(links, link)
-		}
-	}
-	l.mu.Unlock()
-	for key, p := range touched {
-		p.set(c)
-		if (c == Cond{}) {
-			l.spans.end(key, l.now())
-		} else {
-			l.spans.begin(key, l.now())
-		}
-	}
-	for _, link := range links {
-		link.pathsChanged()
-	}
-	return len(touched)
-}
-
-// ResetLink resets every connection on the links from one part to another.
-func (l *Lab) ResetLink(from, to string) (n int) {
-	l.mu.Lock()
-	var hit []*tcpLink
-	for key, link := range l.links {
-		if a, b, _ := strings.Cut(key, "->"); matches(from, a) && matches(to, b) {
-			hit = append(hit, link)
-			l.spans.touch(key, l.now())
-		}
-	}
-	l.mu.Unlock()
-	for _, link := range hit {
-		link.gate.reset()
-	}
-	return len(hit)
-}
-
 // Drain makes discovery list a server as draining; after the time it is gone, and answers nobody.
 func (l *Lab) Drain(s *Server, goneAfter time.Duration) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/lab/outage.go
@@ -0,0 +1,69 @@
+// How discovery fails.
+
+package lab
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outage is how discovery fails. The zero value is a well one.
+type Outage struct {
+	Down bool          // watches end, calls are refused by a reset
+	Fail bool          // calls end in 503; watches go on
+	Slow time.Duration // each call takes so much longer, and they are handled in turn
+
+	Dumb    bool // calls are taken and answered with nothing at all; watches that are open fall silent
+	Trickle bool // in place of lines come spaces without an end of line
+	Cut     bool // each list ends in its middle, and with it the connection
+	Indent  bool // lists come in many lines
+}
+
+func (d *discovery) set(o Outage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.outage = o
+	d.wake()
+}
+
+// mute makes all watches that are open fall silent for good.
+func (d *discovery) mute() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mutes++
+	d.wake()
+}
+
+// renumber is a discovery that comes back with other numbers, and ends all watches.
+func (d *discovery) renumber(higher bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.tiers {
+		if t.seq += 1000; !higher {
+			t.seq = 1
+		}
+		t.base, t.log = t.seq, nil
+	}
+	d.outage.Down = true
+	d.wake()
+	time.AfterFunc(50*time.Millisecond, func() { d.set(Outage{}) })
+}
+
+// silent says nothing until the caller leaves.
+func (d *discovery) silent(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-d.lab.done:
+	}
+}
+
+func (d *discovery) hangUp(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			if g, ok := c.(*gatedConn); ok {
+				g.reset()
+			}
+			c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/restarts.go
@@ -0,0 +1,245 @@
+// Scenarios of leaves, splits, restarts and floods.
+
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+func (s *study) leaveOne(ctx context.Context) error {
+	n := s.nodes[len(s.nodes)-1]
+	at := s.lab.now()
+	n.Terminate()
+	return s.heard(ctx, s.nodes[:len(s.nodes)-1], n.name, "left", "left", at)
+}
+
+// leaderLeaves books for how long some of the others are without a majority after the planned end of the one that leads.
+func (s *study) leaderLeaves(ctx context.Context) error {
+	leader, rest := s.nodes[0], s.nodes[1:]
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		leader.Terminate()
+	}()
+	defer func() { <-ended }()
+	without, before := time.Duration(0), s.lab.now()
+	for from := before; before-from < 5*time.Second; {
+		lacks := false
+		for _, n := range rest {
+			if v, err := n.Fleet(ctx); err == nil && v.Side != "majority" && v.Side != "whole" {
+				lacks = true
+			}
+		}
+		if !sleep(ctx, 10*time.Millisecond) {
+			return ctx.Err()
+		}
+		if now := s.lab.now(); lacks {
+			without, before = without+now-before, now
+		} else {
+			before = now
+		}
+	}
+	s.times["some without a majority for"] = append(s.times["some without a majority for"], without)
+	_, err := s.agreed(ctx, rest, "whole")
+	return err
+}
+
+// split cuts the nodes into groups for 20 s.
+func (s *study) split(ctx context.Context, rolling bool, sizes ...int) error {
+	var groups [][]*Node
+	rest := s.nodes
+	for _, n := range sizes {
+		groups, rest = append(groups, rest[:n]), rest[n:]
+	}
+	set := func(c Cond) {
+		for i, g := range groups {
+			for j, h := range groups {
+				if i == j {
+					continue
+				}
+				for _, a := range g {
+					for _, b := range h {
+						s.lab.SetLink(a.name, b.name, c)
+					}
+				}
+			}
+		}
+	}
+	set(Cond{Cut: true})
+	until := s.lab.now() + 20*time.Second
+	if rolling {
+		for _, n := range []*Node{s.nodes[0], s.nodes[4], s.nodes[6]} {
+			n.Terminate()
+			if err := n.restart(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	sleepUntil(s.lab.began.Add(until), ctx.Done())
+	for i, g := range groups {
+		for _, n := range g {
+			if v, err := n.Fleet(ctx); err == nil {
+				s.count[fmt.Sprintf("group %d (%d): %s", i+1, len(g), v.Side)]++
+			}
+		}
+	}
+	set(Cond{})
+	took, err := s.agreed(ctx, s.nodes, "whole")
+	s.times["healed"] = append(s.times["healed"], took)
+	return err
+}
+
+// restartOne kills a node and starts it again at once: within the time in which it is suspected.
+func (s *study) restartOne(ctx context.Context) error {
+	n, at := s.nodes[len(s.nodes)-1], s.lab.now()
+	n.Kill()
+	if err := n.restart(ctx); err != nil {
+		return err
+	}
+	took, err := s.agreed(ctx, s.nodes, "whole")
+	s.times["whole again"] = append(s.times["whole again"], took)
+	return errors.Join(err, s.wronglyGone(at))
+}
+
+func (s *study) restartAll(ctx context.Context) error {
+	for _, n := range s.nodes {
+		n.Kill()
+	}
+	for _, n := range s.nodes {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	for _, n := range s.nodes {
+		if err := n.Up(ctx); err != nil {
+			return err
+		}
+	}
+	took, err := s.agreed(ctx, s.nodes, "whole")
+	s.times["whole again"] = append(s.times["whole again"], took)
+	return err
+}
+
+// seedsDead kills all, starts those that are no seeds, and only later the seeds.
+func (s *study) seedsDead(ctx context.Context) error {
+	seeds := min(s.lab.world.Seeds, len(s.nodes))
+	for _, n := range s.nodes {
+		n.Kill()
+	}
+	for _, n := range s.nodes[seeds:] {
+		if err := n.restart(ctx); err != nil {
+			return err
+		}
+	}
+	if _, err := s.agreed(ctx, s.nodes[seeds:seeds+1], "alone"); err != nil {
+		return err
+	}
+	for _, n := range s.nodes[:seeds] {
+		if err := n.restart(ctx); err != nil {
+			return err
+		}
+	}
+	took, err := s.agreed(ctx, s.nodes, "whole")
+	s.times["whole after the seeds"] = append(s.times["whole after the seeds"], took)
+	return err
+}
+
+// flood sends one node junk as fast as one sender can, for 10 s, and books how long it takes to answer meanwhile.
+func (s *study) flood(ctx context.Context) error {
+	n, at := s.nodes[len(s.nodes)-1], s.lab.now()
+	to, err := net.Dial("udp4", n.meshListen())
+	if err != nil {
+		return err
+	}
+	defer to.Close()
+	ended := make(chan int)
+	until := s.lab.began.Add(at + 10*time.Second)
+	go func() {
+		junk, sent := make([]byte, 200), 0
+		for ; time.Now().Before(until) && ctx.Err() == nil; sent++ {
+			to.Write(junk) // one that finds no room is as good
+		}
+		ended <- sent
+	}()
+	for time.Now().Before(until) && sleep(ctx, 10*time.Millisecond) {
+		from := s.lab.now()
+		if n.Ready(ctx) {
+			s.times["an answer of the flooded"] = append(s.times["an answer of the flooded"], s.lab.now()-from)
+		} else {
+			s.count["no answer"]++
+		}
+	}
+	s.count["packets sent"] += <-ended
+	return errors.Join(ctx.Err(), s.wronglyGone(at))
+}
+
+// halfProcessor lets one node run for half of every tenth of a second.
+func (s *study) halfProcessor(ctx context.Context) error {
+	n, at := s.nodes[len(s.nodes)-1], s.lab.now()
+	for s.lab.now()-at < 30*time.Second {
+		if err := n.process.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		sleep(ctx, 50*time.Millisecond)
+		if err := n.process.signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		if !sleep(ctx, 50*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	took, err := s.agreed(ctx, s.nodes, "whole")
+	s.times["whole again"] = append(s.times["whole again"], took)
+	return errors.Join(err, s.wronglyGone(at))
+}
+
+// twoOfOneName starts a second process with the last node's name, at an address of its own, and ends it once the older
+// one has stepped out of the mesh.
+func (s *study) twoOfOneName(ctx context.Context) error {
+	older := s.nodes[len(s.nodes)-1]
+	twin, err := s.lab.newNode("twin", older.zone, older.tier, older.self)
+	if err != nil {
+		return err
+	}
+	twin.called = older.name
+	if err := twin.restart(ctx); err != nil {
+		return err
+	}
+	state := func(n *Node) (state, side string) {
+		v, err := n.Fleet(ctx)
+		if err != nil {
+			return "", ""
+		}
+		return v.State(older.name), v.Side
+	}
+	note := func(figure, what string, is func() bool) {
+		if err == nil {
+			var took time.Duration
+			took, err = s.until(ctx, what, is)
+			s.times[figure] = append(s.times[figure], took)
+		}
+	}
+	note("both see the conflict", "both see the conflict", func() bool {
+		a, _ := state(older)
+		b, _ := state(twin)
+		return a == "conflict" && b == "conflict"
+	})
+	note("then the older is out", "the older is alone and says so", func() bool {
+		is, side := state(older)
+		return is == "conflict" && side == "alone"
+	})
+	with := append(slices.Clone(s.nodes[:len(s.nodes)-1]), twin)
+	note("then the others agree with the newer", "all agree with the newer", func() bool { return Agree(ctx, with, "whole") })
+	if err == nil && !older.Ready(ctx) {
+		err = errors.New("the older does not take clients any more")
+	}
+	twin.Kill()
+	note("the older is back after the newer's end", "the older is back", func() bool { return Agree(ctx, s.nodes, "whole") })
+	return err
+}
--- a/internal/mesh/council.go
+++ b/internal/mesh/council.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 )
@@ -95,38 +94,6 @@
 	missed  []string            // the first that this process misses
 }
 
-type past struct {
-	epoch  Epoch
-	roster []string
-}
-
-// delta is what makes one roster of another.
-type delta struct {
-	Add []string `json:"a,omitempty"`
-	Del []string `json:"d,omitempty"`
-}
-
-func diff(from, to []string) *delta {
-	d := &delta{}
-	for len(from) > 0 || len(to) > 0 {
-		switch {
-		case len(from) == 0 || len(to) > 0 && to[0] < from[0]:
-			d.Add, to = append(d.Add, to[0]), to[1:]
-		case len(to) == 0 || from[0] < to[0]:
-			d.Del, from = append(d.Del, from[0]), from[1:]
-		default:
-			from, to = from[1:], to[1:]
-		}
-	}
-	return d
-}
-
-func (d *delta) apply(roster []string) []string {
-	next := slices.DeleteFunc(slices.Concat(roster, d.Add), func(name string) bool { return slices.Contains(d.Del, name) })
-	slices.Sort(next)
-	return next
-}
-
 type vote struct {
 	process uint64
 	until   time.Duration // by this process's clock
@@ -135,32 +102,6 @@
 	came    time.Duration // this one's when it came
 }
 
-// message is what councils say to each other.
-type message struct {
-	From    string   `json:"f"`
-	Process uint64   `json:"p"`
-	Epoch   Epoch    `json:"e"`
-	Roster  []string `json:"r,omitempty"` // of the epoch, for one that may lack it
-	Prev    []string `json:"b,omitempty"`
-	Base    Epoch    `json:"b0,omitzero"`  // instead of the roster: an epoch that the receiver has had,
-	Next    *delta   `json:"bn,omitempty"` // what makes the roster of that one's,
-	Last    *delta   `json:"bl,omitempty"` // and what makes the one before, while the change does not hold
-	Missing []string `json:"m,omitempty"`  // of the roster, as the sender sees it; the first few
-	Digest  uint64   `json:"d,omitempty"`  // of the sender's view
-
-	Kind  messageKind     `json:"k,omitempty"`
-	For   uint64          `json:"t,omitempty"` // the process whose clock a poll's Vote or a vote's Poll is
-	Poll  time.Duration   `json:"q,omitempty"` // the leader's clock at the poll
-	Vote  time.Duration   `json:"v,omitempty"` // the voter's clock at the vote; in a poll, at its last one
-	Left  time.Duration   `json:"l,omitempty"` // in a poll: for how long from that vote's coming the majority is certain
-	Holds bool            `json:"h,omitempty"` // in a poll: the leader has the majority, and its roster holds
-	Whole bool            `json:"w,omitempty"` // in a poll: all of the roster live
-	Body  json.RawMessage `json:"y,omitempty"`
-	About string          `json:"a,omitempty"` // in an inquiry: the process, by its name within memberlist
-}
-
-type messageKind int
-
 const (
 	news messageKind = iota // a roster, for one that lacks it
 	poll
@@ -303,20 +244,6 @@
 	return Minority, 0
 }
 
-// misses notes the first members of the roster that this process does not see.
-func (c *council) misses() {
-	c.missed = nil
-	for _, name := range c.roster {
-		if !c.lives(name) && len(c.missed) < mostNamed {
-			c.missed = append(c.missed, name)
-		}
-	}
-}
-
-func (c *council) message(kind messageKind, digest uint64) message {
-	return message{From: c.self, Process: c.process, Epoch: c.epoch, Missing: c.missed, Digest: digest, Kind: kind}
-}
-
 // tick returns what this process has to say now, by receiver: the leader's polls, or a word to one that leads and has not
 // polled.
 func (c *council) tick(now time.Duration, digest uint64) map[string]message {
@@ -396,83 +323,6 @@
 	return out, true
 }
 
-// tell puts the roster into a message, for one that has that of another epoch.
-func (c *council) tell(m *message, has Epoch) {
-	for _, p := range c.past {
-		if p.epoch == has {
-			m.Base, m.Next = has, diff(p.roster, c.roster)
-			if c.prev != nil {
-				m.Last = diff(p.roster, c.prev)
-			}
-			return
-		}
-	}
-	m.Roster, m.Prev = c.roster, c.prev
-}
-
-// change makes the next roster, if it is another. It is as near to what it should be as one change may bring it.
-func (c *council) change(now time.Duration) {
-	moved := 0
-	next := make([]string, 0, len(c.roster)+1)
-	for _, name := range c.roster {
-		since, lost := c.gone[name]
-		if (c.left[name] || lost && now-since >= forget) && moved < mostMoved {
-			moved += len(name)
-			continue
-		}
-		next = append(next, name)
-	}
-	for name, since := range c.live {
-		if _, in := slices.BinarySearch(c.roster, name); !in && now-since >= settle && !c.left[name] && len(next) < mostRost && moved < mostMoved {
-			moved += len(name)
-			next = append(next, name)
-		}
-	}
-	slices.Sort(next)
-	if !slices.Equal(next, c.roster) || c.epoch.Number == 0 {
-		old := c.roster
-		c.enter(Epoch{c.epoch.Number + 1, c.self}, next, old)
-	}
-}
-
-// enter takes a newer roster.
-func (c *council) enter(e Epoch, roster, prev []string) {
-	if c.epoch.Number > 0 { // the first one is each process's own seeds
-		c.past = append(c.past, past{c.epoch, c.roster})
-		c.past = c.past[max(0, len(c.past)-mostPast):]
-	}
-	c.epoch, c.roster, c.prev = e, roster, prev
-	c.misses()
-}
-
-// proper says that a roster's names are in order, each there once, and not too many.
-func proper(roster []string) bool {
-	for i, name := range roster {
-		if name == "" || i > 0 && name <= roster[i-1] {
-			return false
-		}
-	}
-	return len(roster) <= mostRost
-}
-
-// adopt takes over a newer roster.
-func (c *council) adopt(m message) {
-	if m.Epoch.compare(c.epoch) <= 0 {
-		return
-	}
-	if m.Next != nil && m.Base == c.epoch {
-		m.Roster = m.Next.apply(c.roster)
-		if m.Last != nil {
-			m.Prev = m.Last.apply(c.roster)
-		}
-	}
-	if len(m.Roster) == 0 || !proper(m.Roster) || !proper(m.Prev) {
-		return
-	}
-	c.enter(m.Epoch, m.Roster, m.Prev)
-	c.gone = map[string]time.Duration{}
-}
-
 // hear takes a message and returns the answer, if there is one.
 func (c *council) hear(now time.Duration, m message, digest uint64) (answer message, ok bool) {
 	if m.From == c.self || !c.lives(m.From) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,7 +9,6 @@
 	"container/heap"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -18,79 +17,6 @@
 	"golang.org/x/time/rate"
 )
 
-// clock is monotonic and reads as Unix time at the start, so a server's boot time is a clock time.
-type clock struct{ start time.Time }
-
-func newClock() clock { return clock{time.Now()} }
-
-func (c clock) now() time.Duration { return time.Duration(c.start.UnixNano()) + time.Since(c.start) }
-
-// at turns a clock time into one that deadlines of sockets understand.
-func (c clock) at(t time.Duration) time.Time {
-	return c.start.Add(t - time.Duration(c.start.UnixNano()))
-}
-
-// call is a caller's request. The loop alone uses the fields below the line.
-type call struct {
-	req      deckrelay.Request
-	method   string
-	url      *url.URL
-	host     string
-	header   http.Header
-	body     []byte  // whole, or what was read before the request was taken
-	held     *lease  // for body
-	rest     *upload // what comes after body; nil: nothing
-	length   int64   // of both; -1: not known
-	budget   time.Duration
-	deadline time.Duration
-	reply    chan answer // takes the one final answer without blocking
-	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
-
-	attempts int
-	out      int
-	counted  bool // as taken
-}
-
-// answer is the final answer to a call.
-type answer struct {
-	status      int
-	retryAfter  time.Duration
-	contentType string
-	body        []byte
-	held        *lease    // for body
-	rest        *download // what comes after body; nil: nothing
-}
-
-// drop gives up an answer that nobody gets.
-func (a answer) drop() {
-	a.held.shrink(0)
-	if a.rest != nil {
-		a.rest.end(errClosed, true)
-	}
-}
-
-// result is how an attempt ended.
-type result struct {
-	att    *attempt
-	ending deckrelay.Ending
-	load   *deckrelay.Load
-	answer answer
-	passed bool  // the answer was passed on while it came
-	err    error // why there is no answer
-}
-
-// sent is the moment at which an attempt whose request was passed on while it came is whole at its server.
-type sent struct {
-	att *attempt
-	at  time.Duration
-}
-
-// begun is an answer that is passed on while it comes.
-type begun struct {
-	att    *attempt
-	answer answer
-}
-
 // sender carries attempts to servers. No method may block.
 type sender interface {
 	start(*attempt)
@@ -397,17 +323,3 @@
 		delete(l.targets, id)
 	}
 }
-
-// wakeHeap holds the timers that the module asked for, the next one first.
-type wakeHeap []deckrelay.Wake
-
-func (h wakeHeap) Len() int           { return len(h) }
-func (h wakeHeap) Less(i, j int) bool { return h[i].At < h[j].At }
-func (h wakeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *wakeHeap) Push(x any)        { *h = append(*h, x.(deckrelay.Wake)) }
-func (h *wakeHeap) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	*h = (*h)[:last]
-	return w
-}
