--- /dev/null
+++ b/internal/node/places.go
@@ -0,0 +1,201 @@
+// Callers' connections: how many there may be, which makes room, and what each is doing.
+
+package node
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
+// longest without a request makes room, else the one whose request has been coming in for longest: callers must not
+// wait behind peers that send nothing, half a head or half a body.
+type bounded struct {
+	net.Listener
+	stats *stats
+
+	mu      sync.Mutex
+	freed   *sync.Cond
+	most    int
+	taken   int
+	closed  bool
+	waiting *list.List // of *placed, without a whole head, the longest first
+	coming  *list.List // of *placed, without a whole request, the longest first
+}
+
+func bound(ln net.Listener, most int, st *stats) *bounded {
+	b := &bounded{Listener: ln, stats: st, most: most, waiting: list.New(), coming: list.New()}
+	b.freed = sync.NewCond(&b.mu)
+	return b
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	c, err := b.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	b.stats.count(func(c *counts) { c.accepted++ })
+	p := &placed{Conn: c, of: b, born: time.Now()}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.taken >= b.most && !b.closed {
+		e := b.waiting.Front()
+		if e == nil {
+			e = b.coming.Front()
+		}
+		if e != nil {
+			b.stats.count(func(c *counts) { c.evicted++ })
+			e.Value.(*placed).closeLocked()
+		} else {
+			b.freed.Wait()
+		}
+	}
+	b.taken++
+	p.put(b.waiting)
+	return p, nil
+}
+
+// Close ends the accepting. What was accepted before is served still.
+func (b *bounded) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.freed.Broadcast()
+	return b.Listener.Close()
+}
+
+// resize changes how many places there are. What is open beyond them stays until it ends.
+func (b *bounded) resize(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.freed.Broadcast()
+}
+
+// track is told by the HTTP server what a connection is doing. That a request has begun to arrive is no reason
+// to keep a connection: engage is told when its head is there.
+func (b *bounded) track(c net.Conn, state http.ConnState) {
+	p, ok := c.(*placed)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.unplace(); !p.closed {
+		p.kept = true
+		p.put(b.waiting)
+		b.freed.Signal()
+	}
+}
+
+// placedKey finds the connection in the context of its requests.
+type placedKey struct{}
+
+// connOf is the connection of a request; nil: it has none of ours.
+func connOf(r *http.Request) *placed {
+	p, _ := r.Context().Value(placedKey{}).(*placed)
+	return p
+}
+
+// engage tells that a request's head is there, hold that all of it is, or that it is on its way to a server: from
+// then until it is answered its connection does not make room.
+func engage(r *http.Request) {
+	if p := connOf(r); p != nil {
+		p.of.mu.Lock()
+		defer p.of.mu.Unlock()
+		if p.unplace(); !p.closed {
+			p.put(p.of.coming)
+			p.of.freed.Signal()
+		}
+	}
+}
+
+func hold(r *http.Request) {
+	if p := connOf(r); p != nil {
+		p.of.mu.Lock()
+		defer p.of.mu.Unlock()
+		p.unplace()
+	}
+}
+
+// bodyDue is when the first bytes of a request's body have to be there.
+func bodyDue(r *http.Request) time.Time {
+	now := time.Now()
+	due := now.Add(stallTime)
+	if p := connOf(r); p != nil {
+		p.of.mu.Lock()
+		defer p.of.mu.Unlock()
+		if last := p.born.Add(peerTime); !p.kept && last.Before(due) {
+			return last
+		}
+	}
+	return due
+}
+
+// closeWaiting closes the connections that have been without a request in work for so long.
+func (b *bounded) closeWaiting(age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for e := b.waiting.Front(); e != nil && time.Since(e.Value.(*placed).since) >= age; e = b.waiting.Front() {
+		e.Value.(*placed).closeLocked()
+	}
+}
+
+// open is how many connections there are.
+func (b *bounded) open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken
+}
+
+// placed gives its place back when it is closed.
+type placed struct {
+	net.Conn
+	of *bounded
+
+	born time.Time
+	seen head // of the request that is coming in
+
+	// guarded by of.mu
+	in     *list.List
+	place  *list.Element // there; nil: a request is in work
+	kept   bool          // it had a request before
+	since  time.Time     // when it was put there
+	closed bool
+}
+
+func (c *placed) Close() error {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked closes under the lock: no new connection may take the place while the descriptor is still held.
+func (c *placed) closeLocked() error {
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	if c.in == c.of.waiting && c.place != nil && c.seen.half() {
+		c.of.stats.count(func(c *counts) { c.halves++ })
+	}
+	c.unplace()
+	c.of.taken--
+	c.of.freed.Signal()
+	return c.Conn.Close()
+}
+
+// put places a connection last in a list.
+func (c *placed) put(in *list.List) {
+	c.in, c.place, c.since = in, in.PushBack(c), time.Now()
+}
+
+func (c *placed) unplace() {
+	if c.place != nil {
+		c.in.Remove(c.place)
+		c.place = nil
+	}
+}
