Drop a request read off a connection that has made room, unsent

Cause: when all callers' places are taken, Accept closes the connection that has rested longest (places.go, closeLocked). Its reader may have the bytes of a request by then: net/http parses them, engage and hold unplaced the closed connection and went on, and the request went to a server though nobody could be answered.

Change: engage and hold say whether the connection is still open; if not, the handling ends, counted as crossed in msg=counts. A gated listener for the tests: it stands between node and system and holds reads up, before and after.

Ruled out: that eviction picks a connection in work (it is in neither list from hold on).

The hand-over takes any listener with a system's socket now, for such a listener.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -39,7 +39,9 @@
 }
 
 func (h *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	engage(r)
+	if !engage(r) {
+		h.drop()
+	}
 	if status, err := framing(r); err != nil {
 		h.turnDown(w, status, err)
 		return
@@ -58,7 +60,10 @@
 		h.turnDown(w, status, err)
 		return
 	}
-	hold(r)
+	if !hold(r) {
+		c.held.shrink(0)
+		h.drop()
+	}
 	if c.rest != nil {
 		http.NewResponseController(w).EnableFullDuplex() // the answer may come before the body's end
 	}
@@ -83,6 +88,13 @@
 	}
 }
 
+// drop ends the handling of a request whose connection the node has closed. Its client sends it again, so that to send
+// it on would run it twice.
+func (h *callers) drop() {
+	h.stats.count(func(c *counts) { c.crossed++ })
+	panic(http.ErrAbortHandler)
+}
+
 // turnDown answers what is no proper request and ends its connection: the body may not have been read to
 // its end, and what follows on the connection need not be a request.
 func (h *callers) turnDown(w http.ResponseWriter, status int, err error) {
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -168,6 +168,16 @@
 }
 
 func start(t *testing.T, cfg Config, adjust ...func(*Node)) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startOn(t, ln, cfg, adjust...)
+}
+
+// startOn runs a node whose callers come through a listener.
+func startOn(t *testing.T, ln net.Listener, cfg Config, adjust ...func(*Node)) *running {
 	t.Helper()
 	n, err := New(cfg, quiet())
 	if err != nil {
@@ -176,10 +186,6 @@
 	for _, f := range adjust {
 		f(n)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	door, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/node/gate_test.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// gate holds up what goes through it while it is shut, and tells of what waits there.
+type gate struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	shut    bool
+	waiting int
+}
+
+func newGate() *gate {
+	g := &gate{}
+	g.changed = sync.NewCond(&g.mu)
+	return g
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting++
+	g.changed.Broadcast()
+	for g.shut {
+		g.changed.Wait()
+	}
+	g.waiting--
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+	g.changed.Broadcast()
+}
+
+// held says whether something waits at it.
+func (g *gate) held() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shut && g.waiting > 0
+}
+
+// gatedConn is a caller's connection as the node has it, with a gate before each read of the system and one after.
+type gatedConn struct {
+	*net.TCPConn
+	before, after *gate
+
+	mu     sync.Mutex
+	closed bool
+	hurry  bool // a read is to end at once
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	c.before.pass()
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.after.pass()
+	}
+	return n, err
+}
+
+func (c *gatedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *gatedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.hurry = !t.IsZero() && !t.After(time.Now())
+	c.mu.Unlock()
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// ending says that the node has closed it, or told its reader to come to an end.
+func (c *gatedConn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || c.hurry
+}
+
+func (c *gatedConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// gatedListener gives a node connections with gates, and these to the test.
+type gatedListener struct {
+	*net.TCPListener
+	conns chan *gatedConn
+	hold  atomic.Bool // the first read of new connections waits
+}
+
+func newGatedListener(t *testing.T) *gatedListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &gatedListener{TCPListener: ln.(*net.TCPListener), conns: make(chan *gatedConn, 1000)}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	g := &gatedConn{TCPConn: c, before: newGate(), after: newGate()}
+	g.before.shut = l.hold.Load()
+	l.conns <- g
+	return g, nil
+}
+
+// caller is a client on one connection, and the node's end of it.
+type caller struct {
+	*net.TCPConn
+	in   *bufio.Reader
+	node *gatedConn
+}
+
+// dial connects, and finds the node's end by its address.
+func (l *gatedListener) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	for {
+		select {
+		case g := <-l.conns:
+			if g.RemoteAddr().String() == c.LocalAddr().String() {
+				return &caller{c.(*net.TCPConn), bufio.NewReader(c), g}
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("never accepted")
+		}
+	}
+}
+
+// text is a request as it goes over a connection, with more headers.
+func text(class, id, body string, headers ...string) string {
+	method := http.MethodPost
+	if class == "safe" {
+		method = http.MethodGet
+	}
+	if body != "" {
+		headers = append(headers, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	head := append([]string{method + " /api HTTP/1.1", "Host: s", "X-Call-Id: " + id, "X-Call-Class: " + class, "X-Budget: 30000m"}, headers...)
+	return strings.Join(head, "\r\n") + "\r\n\r\n" + body
+}
+
+func (c *caller) send(t *testing.T, what string) {
+	t.Helper()
+	if _, err := io.WriteString(c, what); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answered reads one answer whole and gives its status; 0: the connection ended without one.
+func (c *caller) answered() int {
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -107,7 +107,7 @@
 type handover struct {
 	path   string
 	log    *slog.Logger
-	ln     *net.TCPListener
+	ln     syscall.Conn // the listener
 	phase  func() phase
 	share  func(int)     // so many more processes share the limits
 	passed atomic.Bool   // a successor serves
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"deckrelay"
@@ -153,7 +154,7 @@
 		MaxHeaderBytes:    maxHead,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(*net.TCPListener), phase: n.life.now, share: n.share, moved: make(chan struct{}, 1)}
+	n.handover = &handover{path: n.cfg.handover, log: n.log, ln: ln.(syscall.Conn), phase: n.life.now, share: n.share, moved: make(chan struct{}, 1)}
 	begun := make(chan struct{})                             // callers are accepted here
 	known, alone := make(chan struct{}), make(chan struct{}) // to the process before; there is none any more
 	if before == nil {
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -101,24 +101,31 @@
 }
 
 // engage tells that a request's head is there, hold that all of it is, or that it is on its way to a server: from
-// then until it is answered its connection does not make room.
-func engage(r *http.Request) {
-	if p := connOf(r); p != nil {
-		p.of.mu.Lock()
-		defer p.of.mu.Unlock()
-		if p.unplace(); !p.closed {
-			p.put(p.of.coming)
-			p.of.freed.Signal()
-		}
+// then until it is answered its connection does not make room. Both say whether it is still open: it may have made
+// room between the read and this look, and nobody could be answered there.
+func engage(r *http.Request) bool {
+	p := connOf(r)
+	if p == nil {
+		return true
 	}
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	if p.unplace(); !p.closed {
+		p.put(p.of.coming)
+		p.of.freed.Signal()
+	}
+	return !p.closed
 }
 
-func hold(r *http.Request) {
-	if p := connOf(r); p != nil {
-		p.of.mu.Lock()
-		defer p.of.mu.Unlock()
-		p.unplace()
+func hold(r *http.Request) bool {
+	p := connOf(r)
+	if p == nil {
+		return true
 	}
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	p.unplace()
+	return !p.closed
 }
 
 // bodyDue is when the first bytes of a request's body have to be there.
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -20,6 +20,7 @@
 	evicted                 int // of these, closed without a request in work to make room
 	halves                  int // of these, closed by the node after half a head
 	turned                  int // turned down before the module saw it
+	crossed                 int // requests read off a connection that had made room: their clients send them again
 	taken, left             int // requests, and those whose clients left
 	served, refused, failed perName
 	unsent                  int // refused or failed without an attempt
@@ -153,7 +154,7 @@
 	log.Info("counts", "taken", taken, "served", served, "refused", refused, "failed", failed, "left", left,
 		"unsent", now.unsent-was.unsent, "open", now.inflight(), "out", out, "written", now.written-was.written,
 		slog.Group("ended", attempts...), "accepted", accepted,
-		"evicted", now.evicted-was.evicted, "half_heads", now.halves-was.halves, "turned_down", turned, "reason", reason)
+		"evicted", now.evicted-was.evicted, "half_heads", now.halves-was.halves, "turned_down", turned, "reason", reason, "crossed", now.crossed-was.crossed)
 }
 
 // figures are the counts in the form that operators read.
