End a resting connection by its own reader, after a last look for a request

Cause: on the way out closeWaiting closed connections between requests from outside, 0.6 s after SIGTERM, without knowing whether a request lay in the kernel or in a read that had not come back.

Change: closeWaiting only sets a deadline; the reader itself, in placed.Read, takes a last look with a plain read that waits for nothing. What is there is served, with the time of a head from then on; a request that has begun is not hurried. Its own SetReadDeadline keeps what net/http waits for apart from that.

Result: TestRequestAsItsRestingConnectionEnds, three crossings (in the kernel of a new connection, two bytes read and the rest in the kernel, read whole): all three got no answer before, all get 200 now. Ruled out: a half-close first and a wait after it: what comes then is not read, and its client sends it again either way.

Rejected: a look with MSG_PEEK by closeWaiting before its close; bytes may come between the two, and a read that has not come back is not seen.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -18,6 +18,55 @@
 	return startOn(t, ln, cfg), ln
 }
 
+// A node that leaves ends the connections that rest, while a request comes in on one. Wherever that is at the moment,
+// in the kernel, read but not yet looked at, or half of each, it is served whole: the close may not cross it.
+func TestRequestAsItsRestingConnectionEnds(t *testing.T) {
+	request := text("unsafe", "2", "")
+	for name, cross := range map[string]func(*testing.T, *caller) *gate{
+		"in the kernel of a new connection": func(t *testing.T, c *caller) *gate {
+			c.send(t, request)
+			return c.node.before
+		},
+		"first bytes read, the others in the kernel": func(t *testing.T, c *caller) *gate {
+			c.send(t, text("safe", "1", ""))
+			if status := c.answered(); status != http.StatusOK {
+				t.Fatalf("the first got %d", status)
+			}
+			c.node.before.set(true) // its reader is past this one, and comes back for more
+			c.send(t, request[:2])
+			eventually(t, "the reader is held up", c.node.before.held)
+			c.send(t, request[2:])
+			return c.node.before
+		},
+		"read whole": func(t *testing.T, c *caller) *gate {
+			c.send(t, text("safe", "1", ""))
+			if status := c.answered(); status != http.StatusOK {
+				t.Fatalf("the first got %d", status)
+			}
+			c.node.after.set(true)
+			c.send(t, request)
+			return c.node.after
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, ok)
+			n, ln := gatedNode(t, b)
+			ln.hold.Store(name == "in the kernel of a new connection")
+			c := ln.dial(t)
+			g := cross(t, c)
+			eventually(t, "the reader is held up", g.held)
+			n.stop()
+			eventually(t, "the node ends the connection", c.node.ending)
+			g.set(false)
+			if status := c.answered(); status != http.StatusOK {
+				t.Errorf("the request got %d", status)
+			}
+			eventually(t, "the connection is closed", c.node.isClosed)
+		})
+	}
+}
+
 // A connection that has rested for longest makes room for a new one while a request on it has been read and not yet
 // looked at. Nobody can be answered there any more, so it is not sent on: its client sends it again.
 func TestRequestAsItsConnectionMakesRoom(t *testing.T) {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -20,13 +20,6 @@
 	full bool
 }
 
-// Read reads for the HTTP server.
-func (c *placed) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.seen.add(b[:n])
-	return n, err
-}
-
 func (h *head) add(b []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -61,6 +54,13 @@
 	return len(h.text) > 0 && !h.full
 }
 
+// begun says that some of a head has come, or all of it.
+func (h *head) begun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.text) > 0
+}
+
 // next waits for the next head.
 func (h *head) next() {
 	h.mu.Lock()
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -4,9 +4,12 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -142,12 +145,15 @@
 	return due
 }
 
-// closeWaiting closes the connections that have been without a request in work for so long.
+// closeWaiting ends the connections that have been without a request in work for so long. It only tells their readers
+// to: nobody else can know that no request has come in meanwhile.
 func (b *bounded) closeWaiting(age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for e := b.waiting.Front(); e != nil && time.Since(e.Value.(*placed).since) >= age; e = b.waiting.Front() {
-		e.Value.(*placed).closeLocked()
+	for e := b.waiting.Front(); e != nil && time.Since(e.Value.(*placed).since) >= age; e = e.Next() {
+		p := e.Value.(*placed)
+		p.ending = true
+		p.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
@@ -172,6 +178,8 @@
 	kept   bool          // it had a request before
 	since  time.Time     // when it was put there
 	closed bool
+	ending bool      // its reader is to end it if nothing has come
+	due    time.Time // until when the HTTP server waits for the next bytes; zero: for good
 }
 
 func (c *placed) Close() error {
@@ -195,6 +203,63 @@
 	return c.Conn.Close()
 }
 
+// SetReadDeadline is the HTTP server's. That closeWaiting wants a read to end at once does not show in it.
+func (c *placed) SetReadDeadline(t time.Time) error {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	c.due = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads for the HTTP server, and makes sure that no resting connection ends over a request.
+func (c *placed) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			var again bool
+			if n, err, again = c.expired(b, err); again {
+				continue
+			}
+		}
+		c.seen.add(b[:n])
+		return n, err
+	}
+}
+
+// expired is what a read gives whose time is over. Go looks at the time before it looks at the system, so that a
+// request may lie there: a connection between requests is only ended if there is none.
+func (c *placed) expired(b []byte, why error) (n int, err error, again bool) {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	rests := c.in == c.of.waiting && c.place != nil && !c.seen.begun()
+	over := !c.due.IsZero() && !time.Now().Before(c.due)
+	switch {
+	case c.closed:
+		return 0, net.ErrClosed, false
+	case rests && (c.kept || c.ending):
+		if n = c.look(b); n > 0 {
+			c.due = time.Now().Add(headTime) // for the rest of its head
+			c.Conn.SetReadDeadline(c.due)
+			return n, nil, false
+		}
+		return 0, why, false
+	case over:
+		return 0, why, false
+	}
+	c.Conn.SetReadDeadline(c.due) // a request has begun since closeWaiting
+	return 0, nil, true
+}
+
+// look reads what the system holds, and waits for nothing.
+func (c *placed) look(b []byte) (n int) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) })
+	return max(n, 0)
+}
+
 // put places a connection last in a list.
 func (c *placed) put(in *list.List) {
 	c.in, c.place, c.since = in, in.PushBack(c), time.Now()
