Do not send on a request whose client left while it waited

Cause: net/http notices a leaving client only while it reads one byte ahead. A byte of a next request, or a body that passes through, lies before the end and hides it; a handler that waits for the loop does not look at all.

Change: before the first byte of each attempt, after any wait for room, a dial, a retry or a process that slept, the node asks the kernel about the caller's connection (poll for POLLRDHUP, places.go). If the client has gone the attempt ends unsent, the loop ends the call and the module hears ClientGone as before, so that it frees what it counted.

Rejected: reading ahead in a goroutine of our own.

Lines at fault: pool.maySend, which looked at nothing but what the loop knew.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -41,8 +41,9 @@
 // attempt makes the one send of an attempt and waits for what comes back.
 func (p *pool) attempt(att *attempt) result {
 	ended := func(e deckrelay.Ending, why error) result { return result{att: att, ending: e, err: why} }
+	unsent := func() result { return result{att: att, ending: deckrelay.Void, left: att.call.caller.left()} }
 	if !p.maySend(att) {
-		return ended(deckrelay.Void, nil)
+		return unsent()
 	}
 	c, err := p.take(att)
 	if err != nil {
@@ -51,7 +52,7 @@
 	// Connecting takes time: the request may be over by now, or the server may have been told to drain.
 	if !p.maySend(att) {
 		p.park(c)
-		return ended(deckrelay.Void, nil)
+		return unsent()
 	}
 	r, err := p.exchange(c, att)
 	switch {
@@ -151,7 +152,7 @@
 	for p.guard.hold() { // the server may have been told to drain while the process slept
 		time.Sleep(settle / 10)
 	}
-	return !att.call.closed.Load() && !att.target.stopped.Load() && p.clock.now() < att.deadline
+	return !att.call.closed.Load() && !att.target.stopped.Load() && p.clock.now() < att.deadline && !att.call.caller.left()
 }
 
 // message is the whole request as it goes to a server.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -25,6 +25,7 @@
 	budget   time.Duration
 	deadline time.Duration
 	reply    chan answer // takes the one final answer without blocking
+	caller   *placed     // where it came; nil: not known
 	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
 
 	attempts int
@@ -50,6 +51,9 @@
 	}
 }
 
+// cut is the answer to a call that ends its connection without one: its client has gone.
+var cut = answer{}
+
 // result is how an attempt ended.
 type result struct {
 	att    *attempt
@@ -57,6 +61,7 @@
 	load   *deckrelay.Load
 	answer answer
 	passed bool  // the answer was passed on while it came
+	left   bool  // the client had gone before anything was sent
 	err    error // why there is no answer
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -74,18 +74,26 @@
 	}
 	select {
 	case a := <-c.reply:
+		if a.status == cut.status {
+			h.abandon(c)
+		}
 		h.write(w, r, c, a)
 	case <-r.Context().Done():
 		select {
 		case h.gone <- c:
 		case <-h.stopped:
 		}
-		if c.rest != nil {
-			c.rest.stop()
-		}
-		// A plain return would be a 200 that no server made, and a client that closed one side only would read it.
-		panic(http.ErrAbortHandler)
+		h.abandon(c)
+	}
+}
+
+// abandon ends the handling of a call whose client is gone. A plain return would be a 200 that no server made, and a
+// client that closed one side only would read it.
+func (h *callers) abandon(c *call) {
+	if c.rest != nil {
+		c.rest.stop()
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // drop ends the handling of a request whose connection the node has closed. Its client sends it again, so that to send
@@ -123,7 +131,7 @@
 	bad := func(format string, args ...any) (*call, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
-	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1)}
+	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1), caller: connOf(r)}
 	c.req.ID = r.Header.Get("X-Call-Id")
 	c.req.Class = r.Header.Get("X-Call-Class")
 	c.req.Tenant = r.Header.Get("X-Caller")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -182,15 +182,16 @@
 	}
 }
 
-// leave ends a call whose client is gone.
-func (l *loop) leave(c *call) {
+// leave ends a call whose client is gone, if it has not ended yet.
+func (l *loop) leave(c *call) bool {
 	if c.closed.Swap(true) {
-		return
+		return false
 	}
 	if c.counted {
 		l.stats.count(func(c *counts) { c.left++ })
 	}
 	l.handle(deckrelay.ClientGone{ID: c.req.ID})
+	return true
 }
 
 // takeSent starts the time of a request that came piece by piece.
@@ -257,6 +258,9 @@
 	c.out--
 	l.out--
 	l.stats.ended(r.att.target.id, r.ending, l.clock.now()-r.att.started, r.err)
+	if r.left && l.leave(c) {
+		c.reply <- cut
+	}
 	var spent bool
 	if c.rest != nil && !c.closed.Load() {
 		spent = c.rest.touched.Load()
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
@@ -250,6 +252,25 @@
 	return 0, nil, true
 }
 
+// left says that the client has closed the connection. An end of its sending alone looks the same from here and counts
+// as leaving too. Bytes of a body or of a next request that lie before that end hide it from net/http, which
+// notices a client's leaving by reading on; so does a process that sleeps or has much to do.
+func (c *placed) left() bool {
+	if c == nil {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	look := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err = raw.Control(func(fd uintptr) {
+		look[0].Fd = int32(fd)
+		unix.Poll(look, 0) // an interrupted look says nothing; the next one will
+	})
+	return err != nil || look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 // err: closed here
+}
+
 // look reads what the system holds, and waits for nothing.
 func (c *placed) look(b []byte) (n int) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
