Claim a resting connection to a server: nothing that came before is the answer

Cause: take() hands out an idle connection while its reader may have read bytes, an end or a reset that it has not looked at: conn.read asks "idle?" after its peek, and the attempt has taken the connection by then.

Change: a connection reads the system by itself and notes in one step with the read whether a request was on it; claim, in take, looks under the same lock at what the reader has been given and, with a peek, at what lies in the system. What fails is closed and counted (stale in msg=counts), and the next idle or a new connection is taken.

Result: TestStrayBytesAsAConnectionIsTaken holds attempt and reader at the pool's lock and lets the attempt go first. Without the mend all four cases fail: "stray" served for another request, malformed, EOF (both "may have run"), and a write on a closed connection; the second case of a whole answer hung in pool.shut until the test's limit of 10 minutes. With it all pass, 20 of 20 under the race detector, also with the bytes still in the system.

Ruled out: bytes that come after the request's first byte is written. They cannot be told from its answer by the protocol.

Lines at fault: conn.go:57-66 (idle after the peek), :77 (send without a receiver), servers.go:66-72 (looked only at replies that the reader had given already).

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -186,6 +186,7 @@
 		d.err, d.ours = err, ours
 		if err == nil {
 			d.check()
+			d.conn.rest()
 		}
 		close(d.over)
 	})
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -11,19 +11,26 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
+	"syscall"
 	"time"
 )
 
 // conn is a connection to a server. Its own goroutine always reads, also while it is idle, so a
-// close by the server is seen before the next use.
+// close by the server is seen early; claim makes sure of it before the next use.
 type conn struct {
 	net.Conn
+	raw     syscall.RawConn
 	pool    *pool
 	target  *target
 	in      *io.LimitedReader // what an answer may still take: net/http sets no bound to an answer's header
 	br      *bufio.Reader
 	replies chan reply
 
+	step  sync.Mutex // held over each read of the system and the note of what it gave
+	asked bool       // a request is on it: what comes is its answer
+	stray bool       // something came while none was
+
 	// guarded by pool.mu
 	place    *list.Element // in pool.idle; nil: in use
 	deadline time.Time     // of what it now waits for; zero: none
@@ -44,6 +51,51 @@
 
 func (r reply) drop() { answer{held: r.held, rest: r.rest}.drop() }
 
+// Read reads for the parser of answers, and notes in one step with the system's read whether a request was on the
+// connection: what came before it is no answer to it.
+func (c *conn) Read(b []byte) (n int, err error) {
+	wait := c.raw.Read(func(fd uintptr) bool {
+		c.step.Lock()
+		defer c.step.Unlock()
+		for {
+			if n, err = syscall.Read(int(fd), b); err != syscall.EINTR {
+				break
+			}
+		}
+		c.stray = c.stray || n > 0 && !c.asked
+		return err != syscall.EAGAIN
+	})
+	switch n = max(n, 0); {
+	case wait != nil:
+		return 0, wait
+	case err != nil:
+		return n, os.NewSyscallError("read", err)
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// claim takes a connection for a request that is about to be written. It fails if anything has come since the last
+// answer: bytes that nobody asked for, the end, or a reset, be it that the reader has them, has just been given them,
+// or that they lie in the system.
+func (c *conn) claim() bool {
+	c.step.Lock()
+	defer c.step.Unlock()
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.asked = err == syscall.EAGAIN && !c.stray
+	})
+	return err == nil && c.asked
+}
+
+// rest ends the time in which what comes is an answer: it is whole, or nothing was asked.
+func (c *conn) rest() {
+	c.step.Lock()
+	defer c.step.Unlock()
+	c.asked = false
+}
+
 // read hands every answer to the attempt that waits for it and ends with the connection. An idle
 // connection that is closed, gets bytes nobody asked for or is idle for long is dropped.
 func (c *conn) read() {
@@ -56,6 +108,8 @@
 			c.pool.mu.Unlock() // the idle time ran out just as an attempt took the connection
 			continue
 		}
+		// Bytes that came while it was idle are not the answer to the request that took it since.
+		idle = idle || err == nil && c.strays()
 		if idle || err != nil {
 			c.pool.closeLocked(c)
 		}
@@ -109,6 +163,7 @@
 		}
 		if len(body) < maxBody || resp.ContentLength == maxBody {
 			d.check()
+			c.rest()
 			return reply{resp: resp, body: body, held: held}
 		}
 		return reply{resp: resp, body: body, held: held, rest: d}
@@ -119,3 +174,10 @@
 func (d *download) check() {
 	d.resp.Close = d.resp.Close || d.conn.br.Buffered() > 0
 }
+
+// strays says that bytes came while no request was on it.
+func (c *conn) strays() bool {
+	c.step.Lock()
+	defer c.step.Unlock()
+	return c.stray
+}
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -1,9 +1,15 @@
 package node
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
+
+	"deckrelay"
 )
 
 // gatedNode runs a node that serves one backend over a gated listener.
@@ -113,3 +119,78 @@
 	}
 	return false
 }
+
+// blocked says that some goroutine waits for a lock in a function.
+func blocked(in string) func() bool {
+	return func() bool {
+		stacks := make([]byte, 1<<20)
+		for one := range strings.SplitSeq(string(stacks[:runtime.Stack(stacks, true)]), "\n\n") {
+			if strings.Contains(one, "sync.(*Mutex).Lock") && strings.Contains(one, in) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// What comes on a resting connection to a server in the moment in which an attempt takes it, after the system's read
+// and before the reader's look, is neither the answer to that attempt nor its failure.
+func TestStrayBytesAsAConnectionIsTaken(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	for name, cross := range map[string]func(net.Conn){
+		"a whole answer": func(c net.Conn) { io.WriteString(c, stray) },
+		"half a line":    func(c net.Conn) { io.WriteString(c, stray[:7]) },
+		"an end":         func(c net.Conn) { c.Close() },
+		"a reset":        func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, ok)
+			p := testPool(t)
+			att := testAttempt(p, b.addr(), time.Minute)
+			if first := p.attempt(att); first.ending != deckrelay.Success {
+				t.Fatalf("the first ended with %v", first.ending)
+			}
+			second := *att
+			p.mu.Lock()
+			ended := make(chan result, 1)
+			go func() { ended <- p.attempt(&second) }()
+			eventually(t, "the attempt is about to take it", blocked("(*pool).take"))
+			b.mu.Lock()
+			c := b.conns[0]
+			b.mu.Unlock()
+			cross(c)
+			eventually(t, "the reader is about to look", blocked("(*conn).read"))
+			p.mu.Unlock()
+			if r := <-ended; r.ending != deckrelay.Success || string(r.answer.body) != "done" {
+				t.Errorf("it ended with %v, %v and %q", r.ending, r.err, r.answer.body)
+			}
+			if got := b.accepted(); got != 2 {
+				t.Errorf("%d connections, want a new one for the second", got)
+			}
+		})
+	}
+}
+
+// The same where the reader has not come to read yet: what lies in the system is found too.
+func TestStrayBytesUnreadAsAConnectionIsTaken(t *testing.T) {
+	b := newBackend(t, ok)
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	if first := p.attempt(att); first.ending != deckrelay.Success {
+		t.Fatalf("the first ended with %v", first.ending)
+	}
+	c := att.target.idle[0]
+	c.step.Lock() // its reader, or the attempt, goes on first
+	second := *att
+	ended := make(chan result, 1)
+	go func() { ended <- p.attempt(&second) }()
+	eventually(t, "the attempt is about to claim it", blocked("(*conn).claim"))
+	b.mu.Lock()
+	io.WriteString(b.conns[0], "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+	b.mu.Unlock()
+	eventually(t, "the reader is about to read", blocked("(*conn).Read"))
+	c.step.Unlock()
+	if r := <-ended; r.ending != deckrelay.Success || string(r.answer.body) != "done" {
+		t.Errorf("it ended with %v, %v and %q", r.ending, r.err, r.answer.body)
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -67,14 +68,12 @@
 		p.unpark(c)
 		c.deadline = deadline
 		c.SetDeadline(deadline)
-		p.mu.Unlock()
-		select {
-		case <-c.replies: // it broke or got out of step just now, and nothing of this attempt was on it
-			p.mu.Lock()
-			p.closeLocked(c)
-		default:
+		if c.claim() {
+			p.mu.Unlock()
 			return c, nil
 		}
+		p.stats.count(func(c *counts) { c.stale++ })
+		p.closeLocked(c) // nothing of this attempt was on it
 	}
 	for len(p.open)+p.dial >= p.most && p.idle.Len() > 0 {
 		p.closeLocked(p.idle.Front().Value.(*conn))
@@ -95,9 +94,15 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &io.LimitedReader{R: nc}
-	c := &conn{Conn: nc, pool: p, target: t, in: in, br: bufio.NewReaderSize(in, 4<<10),
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	c := &conn{Conn: nc, raw: raw, pool: p, target: t, asked: true,
 		replies: make(chan reply, 1), deadline: deadline, gone: make(chan struct{})}
+	c.in = &io.LimitedReader{R: c}
+	c.br = bufio.NewReaderSize(c.in, 4<<10)
 	p.open[c] = true
 	nc.SetDeadline(deadline)
 	p.wg.Add(1)
@@ -134,6 +139,7 @@
 		p.closeLocked(c)
 		return
 	}
+	c.rest()
 	c.deadline = time.Now().Add(p.idleFor)
 	c.SetDeadline(c.deadline)
 	c.place = p.idle.PushBack(c)
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -24,6 +24,7 @@
 	taken, left             int // requests, and those whose clients left
 	served, refused, failed perName
 	unsent                  int // refused or failed without an attempt
+	stale                   int // connections to servers found ended, or with bytes nobody asked for, when next needed
 	written                 int // attempts that went whole to a server
 	endings                 [deckrelay.Void + 1]int
 	waited                  time.Duration // over all attempts that ended
@@ -154,7 +155,7 @@
 	log.Info("counts", "taken", taken, "served", served, "refused", refused, "failed", failed, "left", left,
 		"unsent", now.unsent-was.unsent, "open", now.inflight(), "out", out, "written", now.written-was.written,
 		slog.Group("ended", attempts...), "accepted", accepted,
-		"evicted", now.evicted-was.evicted, "half_heads", now.halves-was.halves, "turned_down", turned, "reason", reason, "crossed", now.crossed-was.crossed)
+		"evicted", now.evicted-was.evicted, "half_heads", now.halves-was.halves, "turned_down", turned, "reason", reason, "crossed", now.crossed-was.crossed, "stale", now.stale-was.stale)
 }
 
 // figures are the counts in the form that operators read.
