Close a caller's connection over unread bytes only after reading them

Cause: an answer that ends its connection was followed by a plain close. Where bytes of a next request, or of a body that was turned down, lay unread, the system resets the connection then, and what had not reached the client of the answer went with it. placed hides the half-close that net/http would do in some of these cases.

Change: placed.Close looks whether bytes lie in the system; if so it ends the sending, reads them, 256 KiB and 250 ms at the most, and closes then. When the node ends for good nothing is waited for.

Result: TestAnswerOverUnreadBytes (40 bytes of a next request, a reader with the least buffer, a node on its way out): 3,957 of 40,960 bytes and a reset without it, all with it.

Rejected: a CloseWrite method for net/http's own way: it sleeps 0.5 s whatever the client does, holding the place, and only after bodies, not after a next request's bytes.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -194,3 +194,28 @@
 		t.Errorf("it ended with %v, %v and %q", r.ending, r.err, r.answer.body)
 	}
 }
+
+// An answer that ends its connection comes whole, also to a slow reader that has sent more meanwhile: a close over
+// unread bytes would reset the connection and take with it what is still on its way.
+func TestAnswerOverUnreadBytes(t *testing.T) {
+	const long = 16 << 10
+	b, release := stalled(t, func(c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", strings.Repeat("x", long)) })
+	n, ln := gatedNode(t, b)
+	c := ln.dial(t)
+	c.SetReadBuffer(1) // the system's least: most of the answer stays at the node's end
+	c.send(t, text("safe", "1", ""))
+	eventually(t, "it is out", func() bool { return b.requests() == 1 })
+	c.send(t, text("unsafe", "2", "")[:40])
+	n.stop()
+	eventually(t, "answers end their connections", n.closing)
+	release()
+	eventually(t, "the node has ended the connection", func() bool { return c.node.isClosed() || c.node.hasEnded() })
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || len(body) != long {
+		t.Errorf("%d bytes came, %v", len(body), err)
+	}
+}
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -60,6 +60,7 @@
 	mu     sync.Mutex
 	closed bool
 	hurry  bool // a read is to end at once
+	ended  bool // no more is sent
 }
 
 func (c *gatedConn) Read(b []byte) (int, error) {
@@ -78,6 +79,20 @@
 	return c.TCPConn.Close()
 }
 
+func (c *gatedConn) CloseWrite() error {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	return c.TCPConn.CloseWrite()
+}
+
+// hasEnded says that the node has ended its sending.
+func (c *gatedConn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 func (c *gatedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	c.hurry = !t.IsZero() && !t.After(time.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,6 +228,7 @@
 	}
 	stopPart()
 	stopMeeting()
+	n.inbound.cut.Store(true)
 	server.Close()
 	if operators != nil { // the last to go: it answers while callers are sent away
 		operators.Close()
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -5,16 +5,23 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	lingerTime = 250 * time.Millisecond // for a client to end its side of a connection that we close over its bytes
+	lingerMost = 256 << 10              // so many of which are read
+)
+
 // bounded accepts no more connections at once than it has places. When all are taken, the one that has gone
 // longest without a request makes room, else the one whose request has been coming in for longest: callers must not
 // wait behind peers that send nothing, half a head or half a body.
@@ -27,8 +34,9 @@
 	most    int
 	taken   int
 	closed  bool
-	waiting *list.List // of *placed, without a whole head, the longest first
-	coming  *list.List // of *placed, without a whole request, the longest first
+	cut     atomic.Bool // the node ends: what is open is closed at once
+	waiting *list.List  // of *placed, without a whole head, the longest first
+	coming  *list.List  // of *placed, without a whole request, the longest first
 }
 
 func bound(ln net.Listener, most int, st *stats) *bounded {
@@ -184,7 +192,14 @@
 	due    time.Time // until when the HTTP server waits for the next bytes; zero: for good
 }
 
+// Close is the HTTP server's. A close over unread bytes, such as the next request's, resets the connection, and what
+// is still on its way of an answer goes with it: these are read first, and the client is told that no more comes.
 func (c *placed) Close() error {
+	if c.unread() && !c.of.cut.Load() {
+		c.Conn.(interface{ CloseWrite() error }).CloseWrite()
+		c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.Copy(io.Discard, io.LimitReader(c.Conn, lingerMost)) // ends with the client's close, as a rule
+	}
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	return c.closeLocked()
@@ -271,6 +286,19 @@
 	return err != nil || look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 // err: closed here
 }
 
+// unread says that bytes lie in the system.
+func (c *placed) unread() (any bool) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		any = err == nil && n > 0
+	})
+	return any
+}
+
 // look reads what the system holds, and waits for nothing.
 func (c *placed) look(b []byte) (n int) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
