Give what a leaving node cannot finish its final answer before the kill

Cause: drain waited for 0.6 s and the longest deadline after SIGTERM.

Change: 0.1 s before the earliest kill the node tells the module of every open call (new event TimeUp), which gives its final answer as it always does: a refusal where nothing ran, else a failure. Long answers that have begun may go on as before.

TestLastAnswersBeforeTheKill: 20.0 s without it (the requests' own time), 3.6 s with it. TestTimeUpIsAnsweredAtOnce and the random sequences, whose checker holds the answer to the same moment, fail without the module's part.

Rejected: shorter deadlines for the module's requests from SIGTERM on. A short deadline tells the module of a client's repeat, which is worth less.

Lines at fault: drain's end (node.go:320).

--- a/deckrelay.go
+++ b/deckrelay.go
@@ -171,6 +171,8 @@
 	}
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ ID string }
+	// TimeUp says that the host can wait no longer: a request is owed its final answer now.
+	TimeUp struct{ ID string }
 	// Peers says how many copies place calls on this tier now, by zone, in place of Settings.Balancers. None: it is
 	// not known, and the settings' number holds again.
 	Peers struct{ Copies map[string]int }
@@ -191,6 +193,7 @@
 func (Started) event()    {}
 func (Sent) event()       {}
 func (ClientGone) event() {}
+func (TimeUp) event()     {}
 func (Peers) event()      {}
 func (ZoneOrder) event()  {}
 func (Timer) event()      {}
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -219,3 +219,35 @@
 		t.Errorf("%d bytes came, %v", len(body), err)
 	}
 }
+
+// A node that leaves answers what it cannot finish before it may be killed: what has been sent and may have run fails,
+// what waits is refused.
+func TestLastAnswersBeforeTheKill(t *testing.T) {
+	b, _ := stalled(t, func(net.Conn, *http.Request) bool { return false })
+	n, ln := gatedNode(t, b)
+	var sent []*caller
+	for range 5 { // the window of one server
+		c := ln.dial(t)
+		c.send(t, text("unsafe", "out-"+c.LocalAddr().String(), ""))
+		sent = append(sent, c)
+	}
+	eventually(t, "they are out", func() bool { return b.requests() == len(sent) })
+	n.stop()
+	told := time.Now()
+	waits := ln.dial(t) // new connections come for a moment
+	waits.send(t, text("unsafe", "waits", ""))
+	if status := waits.answered(); status != http.StatusServiceUnavailable {
+		t.Errorf("what waited got %d, want 503", status)
+	}
+	for _, c := range sent {
+		if status := c.answered(); status != http.StatusBadGateway {
+			t.Errorf("what was sent got %d, want 502", status)
+		}
+	}
+	if took := time.Since(told); took > 10*time.Second { // 3.6 s, but for a busy machine; their own time ends after 20 s
+		t.Errorf("the last answer came after %v", took)
+	}
+	if err := <-n.done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,7 +8,9 @@
 import (
 	"container/heap"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -194,6 +196,13 @@
 	return true
 }
 
+// giveUp gives every call that is open its final answer now.
+func (l *loop) giveUp() {
+	for _, id := range slices.Sorted(maps.Keys(l.calls)) {
+		l.handle(deckrelay.TimeUp{ID: id})
+	}
+}
+
 // takeSent starts the time of a request that came piece by piece.
 func (l *loop) takeSent(s sent) {
 	c := s.att.call
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,10 @@
 	lastCalls   = 150 * time.Millisecond // then answers end their connections for so long
 	tendEvery   = 20 * time.Millisecond  // how often a look is taken at what callers sent away hold
 	leastPlaces = 4                      // connections on either side, however many processes share the limit
-	firstList   = time.Second            // how long to wait for fresh news before the known list must do
+	lastAnswers = 100 * time.Millisecond // before the kill that follows SIGTERM all answers are to be under way
+	killAfter   = 700 * time.Millisecond // and the longest deadline, or killMost where that is longer
+	killMost    = 3 * time.Second
+	firstList   = time.Second // how long to wait for fresh news before the known list must do
 )
 
 // Node is one balancer on real sockets.
@@ -318,17 +321,24 @@
 // connection without an answer when its request is read after the call.
 func (n *Node) drain(accepting <-chan error) {
 	n.life.take(leave)
-	end := time.Now().Add(frontNotice + lastCalls + longestDeadline(n.cfg.Settings) + 20*time.Millisecond)
+	began, longest := time.Now(), longestDeadline(n.cfg.Settings)
+	last := began.Add(min(longest, killMost) + killAfter - lastAnswers)
+	end := began.Add(frontNotice + lastCalls + longest + 20*time.Millisecond)
 	if n.handover.passed.Load() {
 		n.inbound.Close() // the successor has the queue
 	}
 	time.Sleep(frontNotice + lastCalls)
 	n.inbound.Close()
 	<-accepting
+	gaveUp := false
 	for left := n.inbound.open(); left > 0; left = n.inbound.open() {
-		if time.Now().After(end) {
+		switch now := time.Now(); {
+		case now.After(end):
 			n.log.Warn("connections left open", "n", left) // none of them is owed an answer any more
 			return
+		case now.After(last) && !gaveUp: // long answers that have begun may still end
+			gaveUp = true
+			n.loop.ask(n.loop.giveUp)
 		}
 		time.Sleep(tendEvery / 4)
 	}
--- a/policy.go
+++ b/policy.go
@@ -220,9 +220,9 @@
 			a.sent = b.now
 		}
 	case ClientGone:
-		if r := b.requests[e.ID]; r != nil {
-			b.close(r)
-		}
+		b.close(b.requests[e.ID])
+	case TimeUp:
+		b.answer(b.requests[e.ID])
 	case Peers:
 		b.takePeers(e)
 	case ZoneOrder:
@@ -1028,7 +1028,7 @@
 
 // answer gives the final answer: a refusal where a retry is surely harmless, else a failure.
 func (b *Balancer) answer(r *request) {
-	if r.answered || r.streaming {
+	if r == nil || r.answered || r.streaming {
 		return
 	}
 	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll ||
@@ -1049,7 +1049,7 @@
 // close ends a request. What is still out for it is not called off and counts until its own ending: where
 // servers work on regardless, the window would hold room that is not there. Else that work is the price.
 func (b *Balancer) close(r *request) {
-	if r.answered {
+	if r == nil || r.answered {
 		return
 	}
 	r.answered = true
--- a/policy_test.go
+++ b/policy_test.go
@@ -332,3 +332,26 @@
 		}
 	}
 }
+
+// When the host can wait no longer, what never ran is refused and what may have run fails, at once; then nothing more
+// is sent for it.
+func TestTimeUpIsAnsweredAtOnce(t *testing.T) {
+	b := newBalancer(t, nil)
+	if acts := sends(b.Handle(0, Request{ID: "held", Class: "pay", Deadline: time.Second})); len(acts) > 0 {
+		t.Fatalf("sent %v without a server", acts)
+	}
+	if acts := b.Handle(msec, TimeUp{ID: "held"}); len(acts) != 1 || acts[0] != (Refuse{ID: "held", RetryAfter: 2 * msec}) {
+		t.Errorf("what waits: %v, want a refusal", acts)
+	}
+	b.Handle(2*msec, ServerList{Full: true, Servers: servers(10)})
+	got := sends(b.Handle(2*msec, Request{ID: "out", Class: "pay", Deadline: time.Second}))
+	if len(got) != 1 {
+		t.Fatalf("sent %v", got)
+	}
+	if acts := b.Handle(3*msec, TimeUp{ID: "out"}); len(acts) != 1 || acts[0] != (Fail{ID: "out"}) {
+		t.Errorf("what was sent: %v, want a failure", acts)
+	}
+	if acts := b.Handle(4*msec, Outcome{ID: "out", Server: got[0].Server, Ending: Overloaded, Ended: true}); len(acts) > 0 {
+		t.Errorf("after its answer: %v", acts)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -96,6 +96,10 @@
 		if r := c.reqs[e.ID]; r != nil {
 			r.ended = true
 		}
+	case TimeUp:
+		if r := c.reqs[e.ID]; r != nil { // the answer is among the actions, before anything else happens
+			r.deadline = min(r.deadline, now-c.slack)
+		}
 	}
 	for id, r := range c.reqs {
 		if !r.ended && now > r.deadline+c.slack {
@@ -381,12 +385,18 @@
 			give(Timer{Token: "r:nobody"})
 			give(Timer{Token: "x"})
 			give(ClientGone{ID: "nobody"})
+			give(TimeUp{ID: "nobody"})
 		}
 		if rng.IntN(50) == 0 && len(ids) > 0 {
 			id := ids[rng.IntN(len(ids))]
 			give(ClientGone{ID: id})
 			ended[id] = true
 		}
+		if rng.IntN(50) == 0 && len(ids) > 0 {
+			id := ids[rng.IntN(len(ids))]
+			give(TimeUp{ID: id})
+			ended[id] = true
+		}
 	}
 	return log, b
 }
