Drop the answer of a client that leaves in the same moment

Cause: a handler waits for its answer and for its client's leaving. When both are there, select picks either; if the leaving, the answer stayed in the call's channel: its bytes counted as held for good, and of a long answer nobody ended the passing on, so that the attempt waited for it for ever, its connection with it, and pool.shut, which is the node's end, waited for the attempt.

Change: once the loop has heard of the leaving, what it had answered before is dropped. No answer can come after that.

Line at fault: callers.go, the branch of r.Context().Done() in ServeHTTP.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -83,6 +83,11 @@
 		case h.gone <- c:
 		case <-h.stopped:
 		}
+		select { // the answer may have come in the same moment, and no other comes after the loop has heard
+		case a := <-c.reply:
+			a.drop()
+		default:
+		}
 		h.abandon(c)
 	}
 }
