Let no reader wait for an attempt that could not write, nor its answer count as held

Cause: a server that answers and closes before it has read a request (too many connections) makes the write fail, and the attempt went without the answer that the reader had handed over. Its bytes counted as held for good; and the reader, which then found the close, sent a second reply into a channel of one place that nobody reads: a goroutine left, and pool.shut waited for it, so that the node could not end. The body of a request that is turned down for its id was counted as held for good too.

Change: after a failed write the attempt takes the reader's one reply and drops it; a reader that finds its reply not taken ends in place of waiting; the 409 gives back its body's bytes.

Ruled out as cause: the attempt's own wait, which always takes a reply once the request is written.

Lines at fault: attempt.go exchange (return without the reply), conn.go read (send without a receiver), loop.go takeCall.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -97,6 +97,8 @@
 func (p *pool) exchange(c *conn, att *attempt) (reply, error) {
 	if att.call.rest == nil {
 		if _, err := c.Write(p.message(att)); err != nil {
+			p.close(c)
+			(<-c.replies).drop() // an answer that came beside it, or the close
 			return reply{}, err
 		}
 		p.stats.count(func(c *counts) { c.written++ })
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -124,7 +124,13 @@
 				c.pool.close(c)
 			}
 		}
-		c.replies <- r
+		select {
+		case c.replies <- r:
+		default: // the attempt has not taken the one before yet, or could not write: nobody waits for another
+			r.drop()
+			c.pool.close(c)
+			return
+		}
 		if r.rest != nil {
 			select {
 			case <-r.rest.over:
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
+
+	"deckrelay"
 )
 
 // A client that leaves in the moment of its answer leaves nothing behind: neither memory that is counted as held nor
@@ -40,3 +45,57 @@
 		}
 	}
 }
+
+// A server that answers and closes before it has read a request leaves no memory counted as held.
+func TestAnswerBesideAFailedWrite(t *testing.T) {
+	p := testPool(t)
+	whole := p.buffers.answers.left.Load()
+	b := newBackend(t, ok)
+	att := testAttempt(p, b.addr(), time.Minute)
+	if first := p.attempt(att); first.ending != deckrelay.Success {
+		t.Fatalf("the first ended with %v", first.ending)
+	} else {
+		first.answer.drop()
+	}
+	c := att.target.idle[0]
+	p.mu.Lock()
+	p.unpark(c)
+	p.mu.Unlock()
+	if !c.claim() {
+		t.Fatal("it cannot be taken")
+	}
+	b.mu.Lock()
+	respond(b.conns[0], "503 Service Unavailable", strings.Repeat("x", 100), "X-Rejected: 1")
+	b.mu.Unlock()
+	eventually(t, "the answer waits", func() bool { return len(c.replies) == 1 })
+	c.Close() // the write fails
+	if _, err := p.exchange(c, att); err == nil {
+		t.Fatal("the write did not fail")
+	}
+	p.close(c)
+	if left := p.buffers.answers.left.Load(); left != whole {
+		t.Errorf("%d bytes are held for nobody", whole-left)
+	}
+}
+
+// A body whose request is turned down for its id is no longer counted as held.
+func TestBodyOfAnIDInUse(t *testing.T) {
+	b, release := stalled(t, func(c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", "done") })
+	n, ln := gatedNode(t, b)
+	whole := n.buffers.requests.left.Load()
+	first, second := ln.dial(t), ln.dial(t)
+	first.send(t, text("unsafe", "1", "payload"))
+	eventually(t, "it is out", func() bool { return b.requests() == 1 })
+	second.send(t, text("unsafe", "1", "payload"))
+	if status := second.answered(); status != http.StatusConflict {
+		t.Errorf("the second got %d", status)
+	}
+	release()
+	if status := first.answered(); status != http.StatusOK {
+		t.Errorf("the first got %d", status)
+	}
+	eventually(t, "all is over", n.idle)
+	if left := n.buffers.requests.left.Load(); left != whole {
+		t.Errorf("%d bytes are held for nobody", whole-left)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -166,6 +166,7 @@
 func (l *loop) takeCall(c *call) {
 	// An id still in use would be taken by the module for the request that it has, and never answered.
 	if l.calls[c.req.ID] != nil {
+		c.held.shrink(0)
 		c.reply <- answer{status: http.StatusConflict}
 		return
 	}
