Send nothing on a connection to a server that comes up after the node's end

Cause: pool.shut closes the connections that it knows of; one whose dial was under way came up later, passed maySend if its call was not closed yet, and carried the request to a server: read before the end, sent on after it, answered by nobody, and shut waited for its answer. Change: shut marks the pool, and what comes up after that is closed unused.

Line at fault: pool.take, after the dial.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -251,3 +252,41 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// A connection to a server that comes up after the node has ended its own carries nothing: nobody could be answered.
+func TestDialAcrossTheEnd(t *testing.T) {
+	b := newBackend(t, ok)
+	p := testPool(t)
+	resting := testAttempt(p, b.addr(), time.Minute)
+	if first := p.attempt(resting); first.ending != deckrelay.Success {
+		t.Fatalf("the first ended with %v", first.ending)
+	}
+	c := resting.target.idle[0]
+	dialing, up := make(chan struct{}), make(chan struct{})
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		close(dialing)
+		<-up
+		return nil
+	}
+	ended := make(chan result, 1)
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		ended <- p.attempt(testAttempt(p, b.addr(), time.Minute))
+	}()
+	<-dialing
+	shut := make(chan struct{})
+	go func() {
+		p.shut()
+		close(shut)
+	}()
+	<-c.gone // the end has begun
+	close(up)
+	if r := <-ended; r.ending != deckrelay.Unreachable {
+		t.Errorf("it ended with %v, want Unreachable", r.ending)
+	}
+	<-shut
+	if got := b.requests(); got != 1 {
+		t.Errorf("the server got %d requests, want the first alone", got)
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -46,6 +46,7 @@
 	most int // connections at once
 	open map[*conn]bool
 	dial int        // connections that are coming up
+	down bool       // the node ends
 	idle *list.List // of *conn, the oldest first
 	wg   sync.WaitGroup
 }
@@ -57,6 +58,8 @@
 		open: map[*conn]bool{}, idle: list.New()}
 }
 
+var errDown = errors.New("the node ends")
+
 var errFull = errors.New("no socket left for another connection")
 
 // take gives the newest idle connection, else opens one.
@@ -91,6 +94,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dial--
+	if err == nil && p.down { // shut has closed all that it knew of
+		nc.Close()
+		err = errDown
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -190,6 +197,7 @@
 // callers that have their answer or are gone.
 func (p *pool) shut() {
 	p.mu.Lock()
+	p.down = true
 	for c := range p.open {
 		p.closeLocked(c)
 	}
