Refuse a client that comes again under an id that its abandoned try still holds

Cause: takeCall gave 409, a failure, to every request whose id was in use, also where only attempts held it whose client had gone; the log did not show it. A failure ends what a refusal lets a client repeat.

Change: where the class may be repeated and the first client has gone it is 503; an unsafe one stays a failure, since its first try may have run; both are counted as turned down, with the reason.

Rejected: keeping the second back until the first is over: one more queue, for a client that may leave again.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -290,3 +290,35 @@
 		t.Errorf("the server got %d requests, want the first alone", got)
 	}
 }
+
+// A client that has gone and comes again under the id that its first try's attempt still holds is refused where a
+// repeat does no harm, and gets a failure where the first may have run.
+func TestClientComesAgainUnderItsID(t *testing.T) {
+	for class, want := range map[string]int{"safe": http.StatusServiceUnavailable, "unsafe": http.StatusConflict} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			b, release := stalled(t, func(c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", "done") })
+			n, ln := gatedNode(t, b)
+			first := ln.dial(t)
+			first.send(t, text(class, "1", ""))
+			eventually(t, "it is out", func() bool { return b.requests() == 1 })
+			first.Close()
+			eventually(t, "the loop knows that it left", func() bool {
+				var left bool
+				n.loop.ask(func() { left = n.loop.calls["1"].closed.Load() })
+				return left
+			})
+			again := ln.dial(t)
+			again.send(t, text(class, "1", ""))
+			if status := again.answered(); status != want {
+				t.Errorf("while the first is out: %d, want %d", status, want)
+			}
+			release()
+			eventually(t, "the first is over", n.idle)
+			again.send(t, text(class, "1", ""))
+			if status := again.answered(); status != http.StatusOK {
+				t.Errorf("after it: %d", status)
+			}
+		})
+	}
+}
--- a/internal/node/leavers_test.go
+++ b/internal/node/leavers_test.go
@@ -66,9 +66,9 @@
 
 // idle says that no request is left, waiting or at a server.
 func (n *running) idle() bool {
-	calls := make(chan int)
-	n.loop.asks <- func() { go func(k int) { calls <- k }(len(n.loop.calls)) }
-	return <-calls == 0
+	var calls int
+	n.loop.ask(func() { calls = len(n.loop.calls) })
+	return calls == 0
 }
 
 // A request whose client left while it waited for room at the servers is not sent on when there is some.
@@ -106,9 +106,9 @@
 
 // waits says that the loop has a request.
 func (n *running) waits(id string) bool {
-	there := make(chan bool)
-	n.loop.asks <- func() { go func(ok bool) { there <- ok }(n.loop.calls[id] != nil) }
-	return <-there
+	var there bool
+	n.loop.ask(func() { there = n.loop.calls[id] != nil })
+	return there
 }
 
 // The same for one that waits for its next attempt: the first was turned away when the client had gone.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -164,10 +164,17 @@
 }
 
 func (l *loop) takeCall(c *call) {
-	// An id still in use would be taken by the module for the request that it has, and never answered.
-	if l.calls[c.req.ID] != nil {
+	// An id still in use would be taken by the module for the request that it has, and never answered. Where only
+	// attempts hold it whose client has gone, that client is here again: what may be repeated is refused, so that it
+	// comes once more; of the rest it must not think that nothing has run.
+	if held := l.calls[c.req.ID]; held != nil {
+		status := http.StatusConflict
+		if held.closed.Load() && c.method == http.MethodGet {
+			status = http.StatusServiceUnavailable
+		}
+		l.stats.turnedDown("X-Call-Id is in use")
 		c.held.shrink(0)
-		c.reply <- answer{status: http.StatusConflict}
+		c.reply <- answer{status: status}
 		return
 	}
 	l.calls[c.req.ID] = c
