Tests: leavers that wait for a dial, and a reset that is no end of an answer without a length

TestEndings gains an answer without a length that ends (served) and one that is reset (may have run).

--- a/internal/node/leavers_test.go
+++ b/internal/node/leavers_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -142,6 +143,43 @@
 	}
 }
 
+// The same for one that waits for a connection to its server.
+func TestLeaversThatWaitForADial(t *testing.T) {
+	for name, l := range leavers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, ok)
+			cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+			cfg.Discovery = silentDiscovery(t)
+			ln := newGatedListener(t)
+			up := newGate()
+			up.shut = true
+			n := startOn(t, ln, cfg, func(n *Node) {
+				n.pool.dialer.Timeout = 0 // the gate may take longer than the settings allow
+				n.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+					up.pass()
+					return nil
+				}
+			})
+			c := ln.dial(t)
+			c.send(t, l.request)
+			eventually(t, "it waits for the dial", up.held)
+			l.leave(t, c)
+			eventually(t, "it has left", c.node.gone)
+			up.set(false)
+			eventually(t, "all is over", n.idle)
+			stays := ln.dial(t)
+			stays.send(t, text("unsafe", "stays", ""))
+			if status := stays.answered(); status != http.StatusOK {
+				t.Errorf("one that stayed got %d", status)
+			}
+			if got := b.got("left") + b.got("next"); got != 0 {
+				t.Errorf("sent on %d times, though its client had left", got)
+			}
+		})
+	}
+}
+
 // The same for one that waits for the loop, as behind a process that slept or is busy.
 func TestLeaversThatWaitForTheLoop(t *testing.T) {
 	for name, l := range leavers {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -49,6 +49,15 @@
 		"500 with the mark": {status("500 Internal Server Error", "X-Rejected: 1"), deckrelay.Failure},
 		"no answer":         {func(int, net.Conn, *http.Request) bool { return false }, deckrelay.Broken},
 		"half an answer":    {partly, deckrelay.Broken},
+		"an end without a length": {func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall")
+			return false
+		}, deckrelay.Success},
+		"a reset without a length": {func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			c.(*net.TCPConn).SetLinger(0) // a reset is no end
+			return false
+		}, deckrelay.Broken},
 		"a long error": {func(_ int, c net.Conn, _ *http.Request) bool {
 			return respond(c, "500 Internal Server Error", strings.Repeat("x", maxBody+1))
 		}, deckrelay.Failure},
