Test: clients that come and go while the process sleeps

Need: a wait without a test, behind a process that slept. Result: TestClientsOfASleepingProcess stops the program with SIGSTOP while three clients come and go and one stays.

--- a/cmd/quaywick/main_test.go
+++ b/cmd/quaywick/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -161,3 +162,53 @@
 		})
 	}
 }
+
+// A client that comes and goes while the process sleeps is not served when it wakes; one that stays is.
+func TestClientsOfASleepingProcess(t *testing.T) {
+	agent, watched := newAgent(t)
+	got := make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { got <- r.Header.Get("X-Call-Id") }))
+	t.Cleanup(server.Close)
+	u := upgradable{freeAddr(t), t.TempDir(), agent}
+	text := strings.Replace(fmt.Sprintf(config, u.agent), `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, u.listen), 1)
+	p := proc{program(t, strings.Replace(text, "127.0.0.1:1", server.Listener.Addr().String(), 1)), ""}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	<-watched
+	p.await(t, "it serves", u.taken)
+	p.Process.Signal(syscall.SIGSTOP)
+	p.await(t, "it sleeps", func() bool {
+		stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+		return strings.Contains(string(stat), ") T ")
+	})
+	dial := func(id, more string) net.Conn {
+		c, err := net.Dial("tcp", u.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Call-Id: %s\r\nX-Call-Class: a\r\nX-Budget: 9000m\r\n\r\n%s", id, more)
+		return c
+	}
+	for i, more := range []string{"", "P", "POST /api HTTP/1.1\r\nX: " + strings.Repeat("x", 8<<10)} {
+		dial(fmt.Sprint("left-", i), more).Close()
+	}
+	stays := dial("stays", "")
+	p.Process.Signal(syscall.SIGCONT)
+	resp, err := http.ReadResponse(bufio.NewReader(stays), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("one that stayed got %v, %v", resp, err)
+	}
+	p.Process.Signal(syscall.SIGTERM) // what it would have sent on has been sent when it ends
+	p.Wait()
+	for close(got); ; {
+		switch id, more := <-got; {
+		case !more:
+			return
+		case id != "stays":
+			t.Errorf("%s was sent on, though its client had left", id)
+		}
+	}
+}
