--- a/cmd/quaywick/main_test.go
+++ b/cmd/quaywick/main_test.go
@@ -212,3 +212,60 @@
 		}
 	}
 }
+
+// Signals that come while a process leaves change nothing: neither a second SIGTERM nor SIGHUP ends it before it has
+// answered.
+func TestSignalsWhileLeaving(t *testing.T) {
+	agent, watched := newAgent(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-release
+	}))
+	t.Cleanup(server.Close)
+	u := upgradable{freeAddr(t), t.TempDir(), agent}
+	text := strings.NewReplacer(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, u.listen), "127.0.0.1:1", server.Listener.Addr().String(),
+		`"target-ms":100,"deadline-ms":200`, `"target-ms":20000,"deadline-ms":60000`).Replace(fmt.Sprintf(config, agent))
+	p := proc{program(t, text), ""}
+	stderr, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	lines := bufio.NewScanner(stderr)
+	await := func(what string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), what) {
+				return
+			}
+		}
+		t.Fatalf("it ended without saying %q", what)
+	}
+	<-watched
+	p.await(t, "it serves", u.taken)
+	c, err := net.Dial("tcp", u.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Call-Id: 1\r\nX-Call-Class: a\r\nX-Budget: 60000m\r\n\r\n")
+	<-arrived
+	p.Process.Signal(syscall.SIGTERM)
+	await("to=leaving")
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	await("msg=reconfigured")
+	close(release)
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("what it had got %v, %v", resp, err)
+	}
+	for lines.Scan() {
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("ended with %v, want exit 0", err)
+	}
+}
