--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -226,13 +226,7 @@
 func TestLastAnswersBeforeTheKill(t *testing.T) {
 	b, _ := stalled(t, func(net.Conn, *http.Request) bool { return false })
 	n, ln := gatedNode(t, b)
-	var sent []*caller
-	for range 5 { // the window of one server
-		c := ln.dial(t)
-		c.send(t, text("unsafe", "out-"+c.LocalAddr().String(), ""))
-		sent = append(sent, c)
-	}
-	eventually(t, "they are out", func() bool { return b.requests() == len(sent) })
+	sent := ln.fill(t, b)
 	n.stop()
 	told := time.Now()
 	waits := ln.dial(t) // new connections come for a moment
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// fill sends as many requests as a node lets out to one server, and waits until all are there.
+func (l *gatedListener) fill(t *testing.T, b *backend) (filling []*caller) {
+	t.Helper()
+	for range 5 { // the window of one server
+		c := l.dial(t)
+		c.send(t, text("unsafe", "fill-"+c.LocalAddr().String(), ""))
+		filling = append(filling, c)
+	}
+	eventually(t, "the server is full", func() bool { return b.requests() == len(filling) })
+	return filling
+}
+
 // text is a request as it goes over a connection, with more headers.
 func text(class, id, body string, headers ...string) string {
 	method := http.MethodPost
--- a/internal/node/leavers_test.go
+++ b/internal/node/leavers_test.go
@@ -79,13 +79,7 @@
 			t.Parallel()
 			b, release := stalled(t, func(c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", "done") })
 			n, ln := gatedNode(t, b)
-			var filling []*caller
-			for range 5 { // the window of one server
-				c := ln.dial(t)
-				c.send(t, text("unsafe", "fill-"+c.LocalAddr().String(), ""))
-				filling = append(filling, c)
-			}
-			eventually(t, "the servers are full", func() bool { return b.requests() == len(filling) })
+			filling := ln.fill(t, b)
 			c := ln.dial(t)
 			c.send(t, l.request)
 			eventually(t, "it waits", func() bool { return n.waits("left") })
@@ -105,6 +99,20 @@
 	}
 }
 
+// onlyThoseThatStay sends a request that is served, and then looks whether one was whose client had left.
+func (n *running) onlyThoseThatStay(t *testing.T, ln *gatedListener, b *backend) {
+	t.Helper()
+	stays := ln.dial(t)
+	stays.send(t, text("unsafe", "stays", ""))
+	if status := stays.answered(); status != http.StatusOK {
+		t.Errorf("one that stayed got %d", status)
+	}
+	eventually(t, "all is over", n.idle)
+	if got := b.got("left") + b.got("next"); got != 0 {
+		t.Errorf("sent on %d times, though its client had left", got)
+	}
+}
+
 // waits says that the loop has a request.
 func (n *running) waits(id string) bool {
 	var there bool
@@ -167,15 +175,7 @@
 			l.leave(t, c)
 			eventually(t, "it has left", c.node.gone)
 			up.set(false)
-			eventually(t, "all is over", n.idle)
-			stays := ln.dial(t)
-			stays.send(t, text("unsafe", "stays", ""))
-			if status := stays.answered(); status != http.StatusOK {
-				t.Errorf("one that stayed got %d", status)
-			}
-			if got := b.got("left") + b.got("next"); got != 0 {
-				t.Errorf("sent on %d times, though its client had left", got)
-			}
+			n.onlyThoseThatStay(t, ln, b)
 		})
 	}
 }
@@ -196,15 +196,7 @@
 			eventually(t, "it has left", c.node.gone)
 			eventually(t, "its handler has it, or is done", func() bool { return n.inbound.handles(c.node) })
 			close(busy)
-			stays := ln.dial(t)
-			stays.send(t, text("unsafe", "stays", ""))
-			if status := stays.answered(); status != http.StatusOK {
-				t.Errorf("one that stayed got %d", status)
-			}
-			eventually(t, "all is over", n.idle)
-			if got := b.got("left") + b.got("next"); got != 0 {
-				t.Errorf("sent on %d times, though its client had left", got)
-			}
+			n.onlyThoseThatStay(t, ln, b)
 		})
 	}
 }
