--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -135,6 +135,14 @@
 	f.mesh[4] = f.start(4)
 	eventually(t, "n4 is back", func() bool { return f.agree(f.mesh, 5, Whole) })
 	from := time.Now()
+	defer func() {
+		if t.Failed() {
+			for _, m := range f.mesh[:4] {
+				v := m.View()
+				t.Logf("%s sees %v, side %v, %+v", m.cfg.Name, state(m, "n4"), v.Side, v.Members)
+			}
+		}
+	}()
 	f.mesh[4].Leave()
 	left := eventually(t, "n4 has left for all", func() bool {
 		for _, m := range f.mesh[:4] {
