Take back the doubled sending of membership's changes: a deaf leader took six for gone

Suspected: the accusations of a member that hears nobody are sent on as often as everything else. Not repeated, so not proved; a change of membership wants its scenarios played first.

--- a/internal/mesh/detector.go
+++ b/internal/mesh/detector.go
@@ -60,9 +60,6 @@
 	// Suspicion is short, and Lifeguard's patience with a process's own health small: evidence.go has the last word.
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 2, 2, 2
 	c.GossipInterval, c.GossipNodes = m.cfg.Probe/4, 3
-	// A leave is told apart from a failure by what came before it alone. In a small fleet, where processes that ended a
-	// moment ago still get their part of the gossip, half as many sends missed a member at one leave in fifty.
-	c.RetransmitMult = 8
 	c.PushPullInterval = 25 * m.cfg.Probe
 	c.TCPTimeout = streamTime
 	c.EnableCompression = false
