--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// The same where its time to rest is over: a request that comes after the system's read was given up, and before the
+// connection is closed, is served.
+func TestRequestAsItsTimeToRestEnds(t *testing.T) {
+	b := newBackend(t, ok)
+	_, ln := gatedNode(t, b)
+	c := ln.dial(t)
+	c.send(t, text("safe", "1", ""))
+	if status := c.answered(); status != http.StatusOK {
+		t.Fatalf("the first got %d", status)
+	}
+	c.node.late.set(true)
+	eventually(t, "its time is over", c.node.late.held)
+	c.send(t, text("unsafe", "2", ""))
+	c.node.late.set(false)
+	if status := c.answered(); status != http.StatusOK {
+		t.Errorf("the request got %d", status)
+	}
+}
+
 // A connection that has rested for longest makes room for a new one while a request on it has been read and not yet
 // looked at. Nobody can be answered there any more, so it is not sent on: its client sends it again.
 func TestRequestAsItsConnectionMakesRoom(t *testing.T) {
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,6 +58,7 @@
 type gatedConn struct {
 	*net.TCPConn
 	before, after *gate
+	late          *gate // after a read whose time is over
 
 	mu     sync.Mutex
 	closed bool
@@ -66,8 +69,11 @@
 func (c *gatedConn) Read(b []byte) (int, error) {
 	c.before.pass()
 	n, err := c.TCPConn.Read(b)
-	if n > 0 {
+	switch {
+	case n > 0:
 		c.after.pass()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.late.pass()
 	}
 	return n, err
 }
@@ -134,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gatedConn{TCPConn: c, before: newGate(), after: newGate()}
+	g := &gatedConn{TCPConn: c, before: newGate(), after: newGate(), late: newGate()}
 	g.before.shut = l.hold.Load()
 	l.conns <- g
 	return g, nil
