--- /dev/null
+++ b/checker_test.go
@@ -0,0 +1,186 @@
+package deckrelay
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// checker follows the events given to one Balancer and its actions, and notes every broken rule.
+// It shares no code with the module.
+type checker struct {
+	set    Settings
+	slack  time.Duration
+	state  map[string]ServerState
+	cells  map[string]int
+	zones  map[string]string
+	kinds  map[string]string
+	reqs   map[string]*tracked
+	order  []*tracked // of classes that keep their order, as they came
+	broken []string
+}
+
+type tracked struct {
+	class    Class
+	deadline time.Duration
+	id       string
+	key      uint64
+	ended    bool
+	rest     time.Duration // an attempt may run on: the key rests until then
+	tries    []*tracking
+}
+
+type tracking struct {
+	server string
+	at     time.Duration
+	over   bool
+	ending Ending
+}
+
+func newChecker(set Settings) *checker {
+	return &checker{set: set, slack: 20 * msec, state: map[string]ServerState{}, cells: map[string]int{},
+		zones: map[string]string{}, kinds: map[string]string{}, reqs: map[string]*tracked{}}
+}
+
+func (c *checker) fault(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+func (t *tracking) mayHaveRun() bool {
+	return !t.over || (t.ending != Overloaded && t.ending != Unreachable && t.ending != Void)
+}
+
+func (t *tracked) out() bool {
+	return slices.ContainsFunc(t.tries, func(t *tracking) bool { return !t.over })
+}
+
+func (c *checker) event(now time.Duration, e Event) {
+	switch e := e.(type) {
+	case ServerList:
+		if e.Full {
+			for id := range c.state {
+				c.state[id] = Gone
+			}
+		}
+		for _, s := range e.Servers {
+			c.state[s.ID], c.cells[s.ID], c.zones[s.ID], c.kinds[s.ID] = s.State, s.Cell, s.Zone, s.Kind
+		}
+	case Request:
+		if c.reqs[e.ID] == nil {
+			cl := Class{Effect: Unsafe}
+			for _, k := range c.set.Classes {
+				if k.Name == e.Class {
+					cl = k
+				}
+			}
+			c.reqs[e.ID] = &tracked{class: cl, deadline: e.Deadline, id: e.ID, key: e.Key}
+			if cl.InOrder && e.HasKey {
+				c.order = append(c.order, c.reqs[e.ID])
+			}
+		}
+	case Outcome:
+		if r := c.reqs[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.tries) {
+			t := r.tries[e.Attempt]
+			if !t.over {
+				t.over, t.ending = true, e.Ending
+				if e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn {
+					r.rest = now + c.set.OrderSettle
+				}
+				r.ended = r.ended || e.Ended
+			}
+		}
+	case ClientGone:
+		if r := c.reqs[e.ID]; r != nil {
+			r.ended = true
+		}
+	case TimeUp:
+		if r := c.reqs[e.ID]; r != nil { // the answer is among the actions, before anything else happens
+			r.deadline = min(r.deadline, now-c.slack)
+		}
+	}
+	for id, r := range c.reqs {
+		if !r.ended && now > r.deadline+c.slack {
+			c.fault("rule 1: %s has no answer %v after its deadline", id, now-r.deadline)
+			r.ended = true
+		}
+	}
+}
+
+func (c *checker) actions(now time.Duration, acts []Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			c.send(now, a)
+		case Refuse:
+			if r := c.final(a.ID); r != nil {
+				for _, t := range r.tries {
+					loose := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
+					if t.mayHaveRun() && !loose {
+						c.fault("rule 2: %s refused though it may have run", a.ID)
+					}
+				}
+			}
+		case Fail:
+			c.final(a.ID)
+		}
+	}
+}
+
+func (c *checker) final(id string) *tracked {
+	r := c.reqs[id]
+	if r == nil || r.ended {
+		c.fault("rule 1: final answer for %s, which is over or unknown", id)
+		return nil
+	}
+	r.ended = true
+	return r
+}
+
+func (c *checker) send(now time.Duration, a Send) {
+	r := c.reqs[a.ID]
+	if r == nil || r.ended {
+		c.fault("rule 1: sent %s, which is over or unknown", a.ID)
+		return
+	}
+	state, known := c.state[a.Server]
+	if !known || state != Ready {
+		c.fault("rule 3: sent to %s, which drains, is gone or unknown", a.Server)
+	}
+	if len(r.tries) >= c.set.MaxAttempts {
+		c.fault("more than %d attempts", c.set.MaxAttempts)
+	}
+	if slices.Contains(c.order, r) {
+		for _, o := range c.order[:slices.Index(c.order, r)] {
+			if o.key == r.key && (!o.ended || o.out() || now < o.rest) {
+				c.fault("rule 5: %s sent before %s, which has its key, was over", a.ID, o.id)
+			}
+		}
+	}
+	if z := r.class.OnlyZones; z != nil && !slices.Contains(z, c.zones[a.Server]) {
+		c.fault("rule 6: %s sent to zone %s", a.ID, c.zones[a.Server])
+	}
+	if k := r.class.OnlyKinds; k != nil && !slices.Contains(k, c.kinds[a.Server]) {
+		c.fault("rule 6: %s sent to kind %s", a.ID, c.kinds[a.Server])
+	}
+	for _, t := range r.tries {
+		if !t.over {
+			c.fault("second copy of %s", a.ID)
+		}
+		if !t.mayHaveRun() {
+			continue
+		}
+		switch r.class.Effect {
+		case Unsafe:
+			c.fault("rule 2: unsafe %s sent again", a.ID)
+		case Keyed:
+			if now > t.at+r.class.Window {
+				c.fault("rule 2: %s sent again outside its window", a.ID)
+			}
+			if r.class.Scope != ScopeAll && c.zones[t.server] != c.zones[a.Server] ||
+				r.class.Scope == ScopeCell && c.cells[t.server] != c.cells[a.Server] {
+				c.fault("rule 2: %s sent again outside its scope", a.ID)
+			}
+		}
+	}
+	r.tries = append(r.tries, &tracking{server: a.Server, at: now})
+}
--- /dev/null
+++ b/cold_test.go
@@ -0,0 +1,107 @@
+package deckrelay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// overBudget names the first span of fallFor in which a server that started at boot was sent more than
+// FallMultiple times what it could do, or nothing. capacity is a warm server's calls a second.
+func overBudget(set Settings, boot time.Duration, capacity float64, sent []time.Duration) string {
+	for i, from := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at < from+fallFor {
+				n++
+			}
+		}
+		grown := min(1, float64(from-boot+fallFor/2)/float64(set.WarmAfter)) // in the middle of the span
+		limit := set.FallMultiple * capacity * (set.ColdFrom + (1-set.ColdFrom)*grown) * fallFor.Seconds()
+		if float64(n) > limit {
+			return fmt.Sprintf("rule 4: %d calls in %v from %v, limit %.0f", n, fallFor, from, limit)
+		}
+	}
+	return ""
+}
+
+func TestOverBudgetCanFail(t *testing.T) {
+	set := testSettings() // 3 times 50 a second times 0.28, on average, for two seconds: 84
+	var burst []time.Duration
+	for i := range 85 {
+		burst = append(burst, time.Second+time.Duration(i)*msec)
+	}
+	if got := overBudget(set, time.Second, 50, burst); !strings.HasPrefix(got, "rule 4") {
+		t.Errorf("a burst of 85 is over budget, got %q", got)
+	}
+	if got := overBudget(set, time.Second, 50, burst[:84]); got != "" {
+		t.Errorf("84 are within the budget, got %q", got)
+	}
+}
+
+// Many copies send to servers of which one is fresh, and none sees the others. What all of them send it in any
+// span must keep the budget: at a steady three quarters of capacity, and in a burst of twice that right after
+// its start, with few copies that have many calls out and with many that have hardly any.
+func TestColdServerIsNotPushedOver(t *testing.T) {
+	for _, tc := range []struct {
+		copies, servers int
+		burst           float64 // times the usual rate, for the first two seconds
+		keyed           bool
+	}{{12, 6, 1, false}, {3, 12, 2, false}, {12, 6, 2, false}, {120, 40, 2, false}, {40, 6, 2, true}} {
+		set := testSettings()
+		set.Tier, set.Balancers = 1, tc.copies
+		class := "get"
+		if tc.keyed {
+			class = "post"
+		}
+		const capacity, boot = 50.0, time.Second // a warm server's calls a second
+		list := servers(tc.servers)
+		list[2].Boot = boot
+		type call struct {
+			b   *Balancer
+			at  time.Duration
+			out Outcome
+		}
+		var bs []*Balancer
+		var calls []call
+		var cold []time.Duration
+		for i := range tc.copies {
+			set.Self = i
+			b, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Handle(0, ServerList{Full: true, Servers: list})
+			bs = append(bs, b)
+		}
+		rng := rand.New(rand.NewPCG(3, 3))
+		now := boot
+		for i := 0; now < boot+12*time.Second; i++ {
+			rate := 0.75 * float64(tc.servers) * capacity
+			if now < boot+2*time.Second {
+				rate *= tc.burst
+			}
+			now += time.Duration(float64(time.Second) / rate)
+			for len(calls) > 0 && calls[0].at <= now {
+				calls[0].b.Handle(calls[0].at, calls[0].out)
+				calls = calls[1:]
+			}
+			b, id := bs[rng.IntN(tc.copies)], fmt.Sprint(i)
+			for _, s := range sends(b.Handle(now, Request{ID: id, Class: class, Deadline: now + time.Second})) {
+				if s.Server == list[2].ID {
+					cold = append(cold, now)
+				}
+				calls = append(calls, call{b, now + 100*msec,
+					Outcome{ID: id, Server: s.Server, Ending: Success, Ended: true}})
+			}
+		}
+		if len(cold) < 20 {
+			t.Errorf("%+v: the cold server got only %d calls", tc, len(cold))
+		}
+		if fault := overBudget(set, boot, capacity, cold); fault != "" {
+			t.Errorf("%+v: %s", tc, fault)
+		}
+	}
+}
