Open the admission window as far as tenants were promised, and never shed for plain latency

Cause, two parts. (1) windowKnee, five own calls a server and tier, is what servers of two cores bear; beyond it the window grows by 0.02 an answer. (2) steer takes a mean latency over 0.65 of the aim for a crowd; where answers take that long of idle servers (0.55 to 0.67 of the aim here) the window falls to its floor and stays, and shedding lowers the target further: without end. At fault: policy.go, `p.window = b.knee * p.base` (share), `most := aimFill * ...` and `knee := b.knee * p.base` (steer). Change: the knee is at least what tenants' quotas bring out for each server at the least mean latency seen (Little's law); the target never lies under 1.1 of that latency, up to 0.85 of the aim. The least is taken after a whole window of answers, for the quick ones come first.

--- a/policy.go
+++ b/policy.go
@@ -30,6 +30,9 @@
 	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
 	retryPurse  = 10    // most that can be saved up
 	aimFill     = 0.65  // mean latency over aim that admission steers to
+	fillMost    = 0.85  // the same, however long answers take
+	uncrowded   = 1.1   // times the least mean latency, up to which servers count as uncrowded
+	leastUp     = 5e-4  // weight of a new answer in the least mean latency, where it rises
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 0.02  // window gained by an answer in good time
 	windowBack  = 1.0   // the same, under the knee
@@ -68,7 +71,7 @@
 	tenants       map[string]*tenant
 	copies, aimed float64 // that place calls on this tier, as counted on now, and what that moves to
 	copiesAt      time.Duration
-	knee          float64 // own calls a server that the window starts with
+	knee          float64 // own calls a server that the window starts with at least
 
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
@@ -93,6 +96,10 @@
 	window       float64   // how many of them are admitted at once (first tier)
 	fill         float64   // mean latency over aim
 	peak         float64   // inFlight, quick to rise and slow to fall
+	answers      float64   // that fill was averaged over
+	least        float64   // fill when the servers were least crowded
+	promise      float64   // calls out, over all copies, if tenants send their shares and answers take the aim
+	whole        float64   // the most servers there were: they bear that
 	base         float64   // servers of this copy's share that the window's floor counts
 	part         float64   // of a call, drawn while the window falls: rounds it up or down
 	shed         float64   // share of requests answered without an attempt
@@ -365,9 +372,10 @@
 	}
 	p.mine, p.fair = own, 0
 	b.weigh(p, yielding)
+	p.whole = max(p.whole, b.weight(own))
 	if p.window == 0 {
 		p.base = p.fair
-		p.window = b.knee * p.base
+		p.window = b.kneeOf(p)
 	}
 }
 
@@ -413,8 +421,7 @@
 	r.over = len(b.tenants) > 0 && !b.tenants[e.Tenant].within(b.now, b.order[len(b.order)-1].Deadline)
 	b.backdate(r)
 	for _, k := range b.order {
-		k.arrive *= 0.99
-		k.serve *= 0.99
+		k.arrive, k.serve = 0.99*k.arrive, 0.99*k.serve
 	}
 	c.arrive++
 	if c.InOrder && e.HasKey && !b.joinLine(r, e.Key) {
@@ -479,8 +486,7 @@
 	r.class.longestTry = max(r.class.longestTry, left)
 	short := float64(left) < 0.95*float64(r.class.longestTry)
 	if b.set.Tier == 0 && (r.repeat || short && !b.set.MarksRepeats) {
-		r.arrived = min(b.now, r.deadline-r.class.Deadline)
-		r.repeat = true
+		r.arrived, r.repeat = min(b.now, r.deadline-r.class.Deadline), true
 	}
 }
 
@@ -526,17 +532,15 @@
 		return
 	}
 	if !r.held {
-		r.held = true
-		r.class.pool.held = append(r.class.pool.held, r)
+		r.held, r.class.pool.held = true, append(r.class.pool.held, r)
 	}
 	b.wakeAt(r, b.holdUntil(r))
 }
 
 func (b *Balancer) unhold(r *request) {
 	if r.held {
-		r.held = false
 		p := r.class.pool
-		p.held = slices.DeleteFunc(p.held, func(h *request) bool { return h == r })
+		r.held, p.held = false, slices.DeleteFunc(p.held, func(h *request) bool { return h == r })
 	}
 }
 
@@ -645,8 +649,7 @@
 // price, and narrower pools need their servers: the nearest alone are drawn from, but for what spills.
 func (b *Balancer) choose(r *request) *server {
 	p := r.class.pool
-	lists := [][]*server{p.near, p.ready, p.ready}
-	leave := max(p.spill, spillLeast)
+	lists, leave := [][]*server{p.near, p.ready, p.ready}, max(p.spill, spillLeast)
 	if _, ill := b.ruledOut(r, p.near); float64(ill) > mostOut*float64(len(p.near)) { // too many
 		leave = max(leave, float64(ill)/float64(len(p.near)))
 	}
@@ -700,8 +703,6 @@
 	return kept
 }
 
-// ---- Eligibility ----
-
 // reach is the part of each group that this copy draws from. Were it the whole, connection tables would fill
 // up, and own calls, spread thin, would tell nothing. It grows with the calls out in a hot copy.
 func (p *pool) reach(list []*server) float64 {
@@ -856,9 +857,8 @@
 			s.level, s.goods = s.level-1, 1
 		}
 	case Overloaded, Unreachable:
-		s.room = s.calls
 		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
-		s.refusals = min(s.refusals+1, maxLevel)
+		s.room, s.refusals = s.calls, min(s.refusals+1, maxLevel)
 		return
 	case Failure, Broken, TimedOut:
 		s.streak, s.goods = s.streak+1, 0
@@ -872,8 +872,6 @@
 	}
 }
 
-// ---- Slow start ----
-
 // warmEnough thins the draw of a cold server to the share of a warm one's capacity that it surely has, and
 // keeps it to one own call at a time: many nodes that each send a little would push it over together. Idle
 // as it is, it wins against every busy server, up to twice as often as a warm one: busy, the share of those,
@@ -892,8 +890,6 @@
 	return s.calls == 0 && b.rng.Float64() < share
 }
 
-// ---- Further attempts ----
-
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
 	if r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts) {
@@ -950,12 +946,19 @@
 	if e.Ending != Success {
 		over = max(over, 1)
 	}
-	p.fill += 2 / (p.window + 16) * (min(over, 1) - p.fill)
+	p.answers++
+	p.fill += max(1/p.answers, 2/(p.window+16)) * (min(over, 1) - p.fill)
+	// Quick answers come first: what is least shows after a window of them.
+	if p.least += leastUp * (p.fill - p.least); p.fill < p.least || !p.settled() {
+		p.least = p.fill
+	}
 	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner is
 	// better. A falling window is rounded by a draw: small ones, rounded up at every copy, choke the servers.
 	p.part = 0
+	// Answers that take long of servers with little to do show no crowd: to shed for them would never end.
 	most := aimFill * (1 - p.shed*min(1, shedding*p.unevenness()))
-	switch knee := b.knee * p.base; {
+	most = max(most, min(uncrowded*p.least, fillMost))
+	switch knee := b.kneeOf(p); {
 	case p.fill > most: // late answers hold servers for nothing: the later, the faster it yields
 		p.window -= windowDown * p.window * (p.fill - most) / (1 - most)
 		p.part = b.rng.Float64()
@@ -971,6 +974,20 @@
 	p.window = max(p.window, 1, windowFloor*b.knee*p.base)
 }
 
+// settled says that answers came of a whole window: until then the quick ones among them are too many.
+func (p *pool) settled() bool { return p.answers >= p.window+16 }
+
+// kneeOf is the window up to which nothing needs to show that servers bear it. They bear what tenants were
+// promised, and by how long its answers take so many calls are out: few at small servers, many at large ones
+// or at such that mostly wait for others.
+func (b *Balancer) kneeOf(p *pool) float64 {
+	part := aimFill / 2
+	if p.settled() {
+		part = p.least
+	}
+	return max(b.knee, p.promise*part/max(p.whole, 1)) * p.base
+}
+
 // unevenness is the variance of the servers' mean log latencies.
 func (p *pool) unevenness() float64 {
 	var n, sum, squares float64
@@ -1006,8 +1023,6 @@
 	return v / c.mean
 }
 
-// ---- Answers ----
-
 // answer gives the final answer: a refusal where a retry is surely harmless, else a failure.
 func (b *Balancer) answer(r *request) {
 	if r == nil || r.answered || r.streaming {
--- a/settings.go
+++ b/settings.go
@@ -59,6 +59,11 @@
 		i, b.pools = len(b.pools), append(b.pools, &pool{zones: c.OnlyZones, kinds: c.OnlyKinds})
 	}
 	k.pool = b.pools[i]
+	for _, t := range b.set.Tenants { // who sends what is not told: each class counts alike
+		if c.Name != "" {
+			k.pool.promise += t.Quota * c.Aim.Seconds() / float64(len(b.set.Classes))
+		}
+	}
 	b.classes[c.Name] = k
 	b.order = append(b.order, k)
 }
