--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -225,6 +226,58 @@
 	}
 }
 
+// A change counts as told 6 s after discovery had it and could be reached, however long the settings let a node go
+// without asking: calls that are refused in turn, reset, or given up because nothing comes are made again by then.
+func TestToldSixSecondsAfterFailedCalls(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "busy", http.StatusServiceUnavailable) }
+	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	for name, fails := range map[string][]http.HandlerFunc{
+		"refused in turn": {refuse, refuse, refuse, refuse, refuse}, "reset": {reset, reset, reset, reset},
+		"given up": {hang}, "refused and given up": {refuse, hang, reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, ok)
+			const list = `{"seq":%d,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"z","health":%q}]}` + "\n"
+			var calls atomic.Int64
+			var drained, told time.Time // the agent has the change, and has written it
+			known := make(chan struct{})
+			addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) {
+				switch n := int(calls.Add(1)); {
+				case n == 1:
+					fmt.Fprintf(w, list, 2, b.addr(), "in_service")
+					w.(http.Flusher).Flush()
+					drained = time.Now()
+				case n < len(fails)+2:
+					fails[n-2](w, r)
+				default:
+					fmt.Fprintf(w, list, 3, b.addr(), "terminating")
+					w.(http.Flusher).Flush()
+					if told.IsZero() {
+						told = time.Now()
+						close(known)
+					}
+					<-r.Context().Done()
+				}
+			})
+			cfg := testConfig(t, "on_request", inService("s-1", b.addr()))
+			cfg.Settings.AskWithin, cfg.Discovery = 10*time.Minute, addr
+			n := start(t, cfg)
+			<-known
+			eventually(t, "the node has it", func() bool { return !n.loop.usable.Load() })
+			if took := told.Sub(drained); took > 6*time.Second {
+				t.Errorf("the change was told after %v", took)
+			}
+			r := newRequest(t, n.url, "unsafe", "1", "x")
+			r.Header.Set("X-Budget", "400m")
+			if status, _, _ := do(t, r); status == http.StatusOK || b.requests() > 0 {
+				t.Errorf("a drained server got %d requests, the answer was %d", b.requests(), status)
+			}
+		})
+	}
+}
+
 // A drained server gets nothing new, a moved one is found at its new address, and one that left a
 // whole list is gone.
 func TestListChangesAreKept(t *testing.T) {
