--- a/policy.go
+++ b/policy.go
@@ -688,7 +688,7 @@
 // groups are the left and the right group of a list, or this copy's part of each.
 func (b *Balancer) groups(list []*server, part float64, away []string) (left, right []*server) {
 	cut := int(math.Ceil(alpha * float64(len(list))))
-	if left, right = list[:cut], list[cut:]; away != nil { // the zones' shares act within the draw: the groups stay
+	if left, right = list[:cut], list[cut:]; away != nil { // shares act in the draw: the groups stay
 		out := func(s *server) bool { return slices.Contains(away, s.Zone) }
 		left, right = slices.DeleteFunc(slices.Clone(left), out), slices.DeleteFunc(slices.Clone(right), out)
 	}
