--- a/cold_test.go
+++ b/cold_test.go
@@ -43,13 +43,15 @@
 
 // Many copies send to servers of which one is fresh, and none sees the others. What all of them send it in any
 // span must keep the budget: at a steady three quarters of capacity, and in a burst of twice that right after
-// its start, with few copies that have many calls out and with many that have hardly any.
+// its start, with few copies that have many calls out and with many that have hardly any, evenly or unevenly.
 func TestColdServerIsNotPushedOver(t *testing.T) {
 	for _, tc := range []struct {
 		copies, servers int
 		burst           float64 // times the usual rate, for the first two seconds
 		keyed           bool
-	}{{12, 6, 1, false}, {3, 12, 2, false}, {12, 6, 2, false}, {120, 40, 2, false}, {40, 6, 2, true}} {
+		uneven          bool // a few copies get most
+	}{{12, 6, 1, false, false}, {3, 12, 2, false, false}, {12, 6, 2, false, false}, {120, 40, 2, false, false}, {40, 6, 2, true, false},
+		{2, 6, 2, false, true}, {30, 12, 2, false, true}, {30, 6, 2, true, true}, {350, 400, 2, false, true}, {350, 60, 2, false, true}} {
 		set := testSettings()
 		set.Tier, set.Balancers = 1, tc.copies
 		class := "get"
@@ -88,7 +90,11 @@
 				calls[0].b.Handle(calls[0].at, calls[0].out)
 				calls = calls[1:]
 			}
-			b, id := bs[rng.IntN(tc.copies)], fmt.Sprint(i)
+			at := rng.IntN(tc.copies)
+			if tc.uneven {
+				at = int(float64(tc.copies) * rng.Float64() * rng.Float64() * rng.Float64())
+			}
+			b, id := bs[at], fmt.Sprint(i)
 			for _, s := range sends(b.Handle(now, Request{ID: id, Class: class, Deadline: now + time.Second})) {
 				if s.Server == list[2].ID {
 					cold = append(cold, now)
--- a/policy.go
+++ b/policy.go
@@ -49,7 +49,7 @@
 	peersSpan = 4.0                    // times the settings' number, or part of it
 	peersHalf = 10 * time.Second       // half of the way to another number
 	peersStep = time.Second            // between two steps on the way
-	askMost   = 600 * time.Millisecond // before asking again: with two calls of 2.3 s twice in the 6 s of grace
+	askMost   = 600 * time.Millisecond // before asking again: twice, and two calls of 2.3 s, in 6 s
 )
 
 // ---- State ----
@@ -99,7 +99,7 @@
 	peak         float64   // inFlight, quick to rise and slow to fall
 	answers      float64   // that fill was averaged over
 	least        float64   // fill when the servers were least crowded
-	promise      float64   // calls out, over all copies, if tenants send their shares and answers take the aim
+	promise      float64   // calls out over all copies, were shares used up and answers as late as the aim
 	whole        float64   // the most servers there were: they bear that
 	base         float64   // servers of this copy's share that the window's floor counts
 	part         float64   // of a call, drawn while the window falls: rounds it up or down
@@ -503,14 +503,14 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	a, p := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}, r.class.pool
+	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	z, p := b.zoneOf(s.Zone), r.class.pool
 	if a.n == 0 {
 		p.shed -= memory / 4 * p.shed
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.unhold(r)
-	z := b.zoneOf(s.Zone)
 	s.open, z.open = append(s.open, a), append(z.open, a)
 	s.calls++
 	p.inFlight++
