--- /dev/null
+++ b/size_test.go
@@ -0,0 +1,60 @@
+package deckrelay
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// BenchmarkHandleBySize is a request with its send and its answer, by the number of servers and of copies. What counts is the
+// ratio of the sizes in one run: it may grow with the list, not with its square.
+func BenchmarkHandleBySize(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1024} {
+		for _, copies := range []int{2, 1024} {
+			b.Run(fmt.Sprintf("servers=%d/copies=%d", n, copies), func(b *testing.B) {
+				bal := newBalancer(b, func(s *Settings) { s.Balancers = copies })
+				var list []Server
+				for i := range n {
+					list = append(list, Server{ID: fmt.Sprintf("s%04d", i), Zone: "z"})
+				}
+				bal.Handle(0, ServerList{Full: true, Servers: list})
+				b.ReportAllocs()
+				now := time.Second
+				for i := 0; b.Loop(); i++ {
+					id := strconv.Itoa(i)
+					now += msec
+					for _, s := range sends(bal.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Second})) {
+						bal.Handle(now+msec/2, Outcome{ID: id, Server: s.Server, Ending: Success, Ended: true})
+					}
+				}
+			})
+		}
+	}
+}
+
+// A thousand servers and as many copies are taken whole: every server is in the list, and drawn by some copy.
+func TestAThousandServersAndCopies(t *testing.T) {
+	const n = 1024
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: fmt.Sprintf("s%04d", i), Zone: "z"})
+	}
+	met := map[string]bool{}
+	for self := range n {
+		b := newBalancer(t, func(s *Settings) { s.Balancers, s.Self = n, self })
+		b.Handle(0, ServerList{Full: true, Servers: list})
+		if listed, avoided := b.Servers(0); listed != n || avoided != 0 {
+			t.Fatalf("copy %d lists %d servers and avoids %d", self, listed, avoided)
+		}
+		for i := range 10 {
+			id := strconv.Itoa(i)
+			for _, s := range sends(b.Handle(msec, Request{ID: id, Class: "get", Deadline: time.Second})) {
+				met[s.Server] = true
+			}
+		}
+	}
+	if len(met) < n*9/10 {
+		t.Errorf("all copies together draw %d of %d servers", len(met), n)
+	}
+}
