Test odd lists: unknown states, doubles, empty and huge names, ten thousand entries

TestOddLists gives a running node each of them, then wants three requests in a row served and the next list followed. A check by mutation was not made.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -338,3 +339,50 @@
 		t.Errorf("after the whole list the absent server got %d, the listed one %d", moved.requests()-10, third.requests())
 	}
 }
+
+// A list with states that nobody knows, a server twice, entries without a name or with a huge one, or ten thousand of
+// them does the node no harm: it takes what it can, serves on, and hears the next one.
+func TestOddLists(t *testing.T) {
+	b := newBackend(t, ok)
+	entry := func(id, addr, health string) string {
+		return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","health":%q}`, id, addr, health)
+	}
+	many := make([]string, 10000)
+	for i := range many {
+		many[i] = entry(fmt.Sprintf("s-%05d", i), "127.0.0.1:1", "terminating")
+	}
+	good := entry("s-1", b.addr(), "in_service")
+	for name, hosts := range map[string]string{
+		"an unknown state":    entry("s-2", "127.0.0.1:1", "resting") + "," + good,
+		"a server twice":      entry("s-1", "127.0.0.1:1", "terminating") + "," + good,
+		"an empty entry":      "{}," + good,
+		"a huge name":         entry(strings.Repeat("x", 1<<20), "127.0.0.1:1", "terminating") + "," + good,
+		"ten thousand":        strings.Join(many, ",") + "," + good,
+		"figures of no sense": `{"host":"s-3","dial":":::","site":"z","health":"terminating","block":-7,"born_ms":-1e300},` + good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, addr := newAgent(t, wholeList)
+			other := newBackend(t, ok)
+			cfg := testConfig(t, "pushed", inService("s-0", "127.0.0.1:1"))
+			cfg.Discovery = addr
+			n := start(t, cfg)
+			a.lines <- `{"seq":5,"whole":true,"hosts":[` + hosts + `]}`
+			tries := 0
+			ask := func() bool {
+				tries++
+				r := newRequest(t, n.url, "unsafe", fmt.Sprint(len(name), ".", tries), "x")
+				status, _, _ := do(t, r)
+				return status == http.StatusOK
+			}
+			eventually(t, "the node has the list", ask)
+			for range 3 {
+				if !ask() {
+					t.Error("a request is not served")
+				}
+			}
+			a.lines <- `{"seq":6,"whole":true,"hosts":[` + entry("s-9", other.addr(), "in_service") + `]}`
+			eventually(t, "the node has the next list", func() bool { return ask() && other.requests() > 0 })
+		})
+	}
+}
