--- a/policy.go
+++ b/policy.go
@@ -49,7 +49,7 @@
 	peersSpan = 4.0                     // times the settings' number, or part of it
 	peersHalf = 10 * time.Second        // half of the way to another number
 	peersStep = time.Second             // between two steps on the way
-	askMost   = 1300 * time.Millisecond // before asking again: with a call of 2.3 s on each side in 6 s
+	askMost   = 2500 * time.Millisecond // before asking again: with a call of 2.3 s well within 6 s
 )
 
 // ---- State ----
@@ -395,14 +395,14 @@
 }
 
 // askAgain plans a Subscribe where the list must be asked for. Jitter keeps copies from swamping discovery
-// together; the wait doubles with each failure but leaves time for two calls before changes count as told.
+// together; the wait doubles with each failure but leaves time for a call before changes count as told.
 func (b *Balancer) askAgain() {
 	if !b.set.AskDiscovery {
 		return
 	}
 	most := min(b.set.AskWithin/4, askMost)
-	wait := most / 4 << min(b.subFails, 2)
-	b.subWanted = b.now + time.Duration((1+b.rng.Float64())/2*float64(wait)) + 1
+	wait := min(most, most/16<<min(b.subFails, 4))
+	b.subWanted = b.now + time.Duration(b.rng.Float64()*float64(wait)) + 1
 	b.do(Wake{At: b.subWanted, Token: "list"})
 }
 
