Let the list of TestOddLists come on each watch: one given once was lost on a watch that ended

Cause: the test gave the list to whatever watch took it, once the node was ready. A watch that is mute for 2.3 s is cut by the node, rightly, and under that load the list went to one that was ending. The agent now tells the list on each watch, as discovery does; what is wanted of the node is the same.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -362,12 +362,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, addr := newAgent(t, wholeList)
-			other := newBackend(t, ok)
+			other, turn := newBackend(t, ok), make(chan struct{})
 			cfg := testConfig(t, "pushed", inService("s-0", "127.0.0.1:1"))
-			cfg.Discovery = addr
+			cfg.Discovery = newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) { // the same on each watch
+				fmt.Fprintln(w, `{"seq":5,"whole":true,"hosts":[`+hosts+`]}`)
+				w.(http.Flusher).Flush()
+				select {
+				case <-turn:
+					fmt.Fprintln(w, `{"seq":6,"whole":true,"hosts":[`+entry("s-9", other.addr(), "in_service")+`]}`)
+					w.(http.Flusher).Flush()
+					<-r.Context().Done()
+				case <-r.Context().Done():
+				}
+			})
 			n := start(t, cfg)
-			a.lines <- `{"seq":5,"whole":true,"hosts":[` + hosts + `]}`
 			tries := 0
 			ask := func() bool {
 				tries++
@@ -381,7 +389,7 @@
 					t.Error("a request is not served")
 				}
 			}
-			a.lines <- `{"seq":6,"whole":true,"hosts":[` + entry("s-9", other.addr(), "in_service") + `]}`
+			close(turn)
 			eventually(t, "the node has the next list", func() bool { return ask() && other.requests() > 0 })
 		})
 	}
