Keep probing a member that was reported dead, though an answer crosses

What was seen: replica counts, quotas and evacuations go on resting on a node that has gone. A member whose last answer is read in the tick in which the failure detector reports its death, or its leave, stays alive here for good (TestAnswersOutweighADeadReport: "never: the member is suspected").

Cause: an answer closes the inquiry and leaves the report, and verify went through open inquiries alone. The detector has dropped the member: it neither probes it nor reports again. The reverse held too: a suspect that answers once had no inquiry, and its death was found by nobody. Ways out were a live event, another process's probe of it, and an own silence of 0.5 s.

Change: verify also goes through the reports. A reported process is a suspect at once, and is probed again as soon as it has not answered for 0.5 s, until the detector takes the report back or it is confirmed dead.

--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -52,6 +52,7 @@
 	for id := range m.suspected {
 		m.reachability.inquire(id, now)
 	}
+	m.inquireReported(now)
 	if m.reachability.silence(now) > silenceThreshold || m.reachability.openInquiries() > 1 {
 		m.inquireAll(now) // it is this process that is cut off, or many are dead
 	}
@@ -61,6 +62,22 @@
 	m.sendProbes()
 }
 
+// inquireReported keeps the processes that the failure detector has reported dead as suspects, and probes those that are
+// silent. An answer ends an inquiry, but not the report: the detector reports a death once.
+func (m *Mesh) inquireReported(now time.Duration) {
+	for _, id := range m.reachability.reported() {
+		p := m.processes.byID[id]
+		if p == nil || !p.isLive() {
+			m.reachability.forget(id)
+			continue
+		}
+		m.setState(p, Suspect)
+		if !m.reachability.answeredRecently(id, now) {
+			m.reachability.inquire(id, now)
+		}
+	}
+}
+
 // inquireAll begins to probe live processes of which nothing is known lately, up to the bound.
 func (m *Mesh) inquireAll(now time.Duration) {
 	for id, p := range m.processes.byID {
--- a/internal/membership/probing_test.go
+++ b/internal/membership/probing_test.go
@@ -50,6 +50,48 @@
 	return m
 }
 
+// Guards against a death that is found by nobody: an answer that was under way when the failure detector reported the
+// death ended the inquiry, and the detector reports a death once.
+func TestAnswerBesideADeadReportHidesNoDeath(t *testing.T) {
+	for name, answersAfter := range map[string]int{ // ticks
+		"in the tick of the report": 0,
+		"as a suspect":              1,
+		"again and again":           20,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newBareMesh("a", "b")
+			suspect := m.processes.byID["a"]
+			m.reportDead(suspect)
+			for range answersAfter {
+				m.passTick("b")
+				m.recordAnswer(suspect)
+			}
+			m.recordAnswer(suspect)
+			m.passTick("b")
+			if suspect.state != Suspect {
+				t.Errorf("reported dead, and it has answered: %s, want %s", suspect.state, Suspect)
+			}
+			const bound = answerValidity + suspectTimeout + 2*tickInterval
+			for range bound / tickInterval {
+				m.passTick("b")
+			}
+			if suspect.state != Dead {
+				t.Errorf("%v after its last answer it is %s, want %s", bound, suspect.state, Dead)
+			}
+		})
+	}
+}
+
+// passTick lets a bare mesh live through the time of a tick, in which one process answers and the others are probed.
+func (m *Mesh) passTick(answers string) {
+	m.startedAt = m.startedAt.Add(-tickInterval)
+	m.recordAnswer(m.processes.byID[answers])
+	m.verify()
+	for _, id := range m.reachability.inquired() {
+		m.reachability.recordProbe(id)
+	}
+}
+
 // A process that gets no answer from anybody is the one that is cut off: it confirms nobody dead, until 20 s are over.
 func TestDisconnectedProcessConfirmsNobodyDead(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -93,7 +93,7 @@
 	return at
 }
 
-// answeredRecently reports whether a process has answered this one lately, so that it may be confirmed to others.
+// answeredRecently reports whether a process has answered this one lately.
 func (r *reachability) answeredRecently(id string, now time.Duration) bool {
 	at, answered := r.answeredAt[id]
 	return answered && now-at <= answerValidity/2
@@ -141,6 +141,9 @@
 	delete(r.unreported, id)
 }
 
+// reported are the processes that the failure detector has reported dead, and that are not confirmed.
+func (r *reachability) reported() []string { return slices.Collect(maps.Keys(r.reportedDead)) }
+
 func (r *reachability) isReportedDead(id string) bool {
 	_, reported := r.reportedDead[id]
 	return reported
