Read no reports of a failure detector that was shut

What was seen: a process that stepped out of the fleet and came back held a healthy member for dead or suspect, and nothing mended it (TestOlderOfTwoProcessesOfANameStepsOut: "never: the older is back"). Quotas and evacuations of that node are computed without the member.

Cause: memberlist's suspicion timers, and probes that have lost their socket, go on after Shutdown. Their events, log lines and probe results came over the same channel and table as those of the next detector. The comparison with the members was made once, at its first tick; what came later was believed.

Change: what a detector reports belongs to detectorReports, which is made and dropped with its detector. The mesh reads those of the present one alone, so nothing of a shut one can be mistaken, at any later time.

Evidence: on the same test, with the old event path, failed: reported by a detector that was shut, a healthy member is suspect It passes now.

Looked for elsewhere: Close ends the goroutine that reads; a hand-over is another Mesh; messages and full states of a shut detector are words of other processes, and stay valid.

--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -4,11 +4,9 @@
 	"encoding/json"
 	"maps"
 	"time"
-
-	"github.com/hashicorp/memberlist"
 )
 
-// delegate is what memberlist calls. It hands everything to the mesh's goroutine; nothing in it may block.
+// delegate is what memberlist calls for messages and state. It hands everything to the mesh's goroutine; nothing in it may block.
 type delegate Mesh
 
 // NodeMeta is what this process publishes of itself.
@@ -95,28 +93,3 @@
 	})
 	m.incarnations.merge(state.Highest, m.cfg.Name)
 }
-
-func (d *delegate) notify(node *memberlist.Node, live bool) {
-	select {
-	case d.events <- processEvent{*node, live}:
-	default:
-		d.eventsDropped.Store(true)
-	}
-}
-
-// NotifyJoin takes a new process.
-func (d *delegate) NotifyJoin(node *memberlist.Node) { d.notify(node, true) }
-
-// NotifyLeave takes a process that is dead by the failure detector, or has left.
-func (d *delegate) NotifyLeave(node *memberlist.Node) { d.notify(node, false) }
-
-// NotifyUpdate takes new metadata.
-func (d *delegate) NotifyUpdate(node *memberlist.Node) { d.notify(node, true) }
-
-// AckPayload has nothing to add to an answer.
-func (d *delegate) AckPayload() []byte { return nil }
-
-// NotifyPingComplete takes a process's answer to this one's probe.
-func (d *delegate) NotifyPingComplete(node *memberlist.Node, _ time.Duration, _ []byte) {
-	d.probes.recordAnswer(node.Name)
-}
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"log"
-	"regexp"
-	"strings"
 
 	"github.com/hashicorp/memberlist"
 )
@@ -21,12 +19,6 @@
 	fullStateProbes        = 25
 )
 
-// processEvent is a change in the failure detector. Memberlist's goroutines make them, the mesh's takes them.
-type processEvent struct {
-	node memberlist.Node
-	live bool
-}
-
 // packetNetwork is what packets and streams go over.
 type packetNetwork interface {
 	memberlist.NodeAwareTransport
@@ -43,18 +35,19 @@
 	if err != nil {
 		return err
 	}
-	detector, err := memberlist.Create(m.detectorConfig(network))
+	reports := newDetectorReports(m.log)
+	detector, err := memberlist.Create(m.detectorConfig(network, reports))
 	if err != nil {
 		_ = network.Shutdown() // the first error counts
 		return err
 	}
 	m.network = network
 	m.detector = detector
-	m.eventsDropped.Store(true) // events of an earlier one may be under way
+	m.reports = reports
 	return nil
 }
 
-func (m *Mesh) detectorConfig(network packetNetwork) *memberlist.Config {
+func (m *Mesh) detectorConfig(network packetNetwork, reports *detectorReports) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	c.Name = m.id()
 	c.Transport = network
@@ -71,9 +64,9 @@
 	c.UDPBufferSize = maxPacketSize - frameHeaderSize
 	c.HandoffQueueDepth = packetQueueSize
 	c.Delegate = (*delegate)(m)
-	c.Events = (*delegate)(m)
-	c.Ping = (*delegate)(m)
-	c.Logger = log.New(detectorLog{m}, "", 0)
+	c.Events = reports
+	c.Ping = reports
+	c.Logger = log.New(reports, "", 0)
 	return c
 }
 
@@ -88,22 +81,16 @@
 	m.closedTraffic.packets += packets
 	m.closedTraffic.bytes += bytes
 	m.detector = nil
+	m.reports = nil
 	m.network = nil
 }
 
-// detectorLog writes the lines of memberlist's own log at the debug level. Memberlist reports a probe without an answer
-// in no other way; a test fails where that line changes.
-type detectorLog struct{ mesh *Mesh }
-
-var failedProbe = regexp.MustCompile(`Suspect (\S+) has failed, no acks received`)
-
-// Write takes one line.
-func (l detectorLog) Write(line []byte) (int, error) {
-	if match := failedProbe.FindSubmatch(line); match != nil {
-		l.mesh.probes.recordFailure(string(match[1]))
+// reportedEvents are the events of the present failure detector; without one there are none.
+func (m *Mesh) reportedEvents() <-chan processEvent {
+	if m.reports == nil {
+		return nil
 	}
-	l.mesh.log.Debug("memberlist", "line", strings.TrimSpace(string(line)))
-	return len(line), nil
+	return m.reports.events
 }
 
 // handleEvent takes a change in the failure detector.
@@ -140,23 +127,24 @@
 // takeProbeResults takes over who answered the failure detector's probes. It costs as much as there are suspects,
 // however large the fleet.
 func (m *Mesh) takeProbeResults() {
-	for _, id := range m.probes.takeAnswered() {
+	probes := &m.reports.probes
+	for _, id := range probes.takeAnswered() {
 		if p := m.processes.byID[id]; p != nil {
 			m.recordAnswer(p)
 		}
 	}
-	for _, id := range m.probes.failures() {
+	for _, id := range probes.failures() {
 		p := m.processes.byID[id]
 		switch {
 		case p == nil || !p.isLive():
-			m.probes.dropFailure(id)
+			probes.dropFailure(id)
 		case p.state == Alive:
 			m.setState(p, Suspect)
 			m.suspected[id] = true
 		}
 	}
 	for id := range m.suspected {
-		if m.probes.hasFailed(id) {
+		if probes.hasFailed(id) {
 			continue
 		}
 		p := m.processes.byID[id]
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -44,18 +44,15 @@
 	drops     DropCounters
 	listen    func() (packetNetwork, error)
 	local     localMetadata
-	probes    probeResults
 
 	view                   atomic.Pointer[View]
 	counters               atomic.Pointer[Counters]
 	publishedDisagreements atomic.Pointer[[]Disagreement]
 
-	// To the mesh's goroutine; memberlist's goroutines send on the first three and never wait.
-	events        chan processEvent
-	inbox         chan message
-	fullStates    chan fullState
-	requests      chan func()
-	eventsDropped atomic.Bool
+	// To the mesh's goroutine; memberlist's goroutines send on the first two and never wait.
+	inbox      chan message
+	fullStates chan fullState
+	requests   chan func()
 
 	stop     chan struct{}
 	stopped  chan struct{}
@@ -63,6 +60,7 @@
 
 	// The rest is of the mesh's goroutine.
 	detector      *memberlist.Memberlist // nil: without an address, or stepped out
+	reports       *detectorReports       // of the detector
 	network       packetNetwork          // of the detector
 	closedTraffic traffic                // of networks that were shut
 	processes     *processTable
@@ -129,8 +127,6 @@
 		startedAt:     now,
 		process:       rand.Uint64() | 1,
 		local:         localMetadata{metadata: cfg.localMetadata()},
-		probes:        newProbeResults(),
-		events:        make(chan processEvent, eventQueueSize),
 		inbox:         make(chan message, inboxSize),
 		fullStates:    make(chan fullState, fullStateQueueSize),
 		requests:      make(chan func()),
@@ -237,7 +233,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case event := <-m.events:
+		case event := <-m.reportedEvents():
 			m.handleEvent(event)
 		case msg := <-m.inbox:
 			m.handleMessage(msg)
@@ -273,7 +269,7 @@
 	if m.detector != nil {
 		m.takeProbeResults()
 		m.verify()
-		if m.eventsDropped.Swap(false) {
+		if m.reports.dropped.Swap(false) {
 			m.compareMembers()
 		}
 	}
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/memberlist"
 )
 
 func TestKillIsDetectedLeaveIsAnnouncedRejoinIsTheSameMember(t *testing.T) {
@@ -82,6 +84,46 @@
 	}
 }
 
+// Guards against a healthy member that a process takes for dead once it is back in the fleet: the failure detector that
+// it has shut reports by timers that still run.
+func TestReportsOfAShutDetectorAreNotRead(t *testing.T) {
+	f := newTestFleet(t, 3)
+	m := f.meshes[2]
+	var shut *detectorReports
+	var node memberlist.Node
+	await(m, func() {
+		shut = m.reports
+		node = m.processes.byName["n0"][0].node
+		m.stepOut(m.now(), m.processes.byName["n0"][0])
+	})
+	report := func() {
+		shut.NotifyLeave(&node)
+		_, _ = shut.Write([]byte("Suspect " + node.Name + " has failed, no acks received")) // never fails
+	}
+	shut.NotifyJoin(&node)
+	if state := stateOf(m, "n0"); state != -1 {
+		t.Errorf("outside the fleet it has a member that is %s", state)
+	}
+	m.do(func() { m.conflict.outsideUntil = m.now() })
+	eventually(t, "it is back", func() bool { return f.agree(f.meshes, 3, Complete) })
+	report()
+	for from := time.Now(); time.Since(from) < 2*suspectTimeout; time.Sleep(5 * time.Millisecond) {
+		if state := stateOf(m, "n0"); state != Alive {
+			t.Fatalf("reported by a detector that was shut, a healthy member is %s", state)
+		}
+	}
+}
+
+// await runs a function on a process's goroutine, and waits for its end.
+func await(m *Mesh, f func()) {
+	done := make(chan struct{})
+	m.do(func() {
+		defer close(done)
+		f()
+	})
+	<-done
+}
+
 // A successor waits for the address and is the same member; nobody takes the change for a death.
 func TestSuccessorTakesOverTheAddress(t *testing.T) {
 	f := newTestFleet(t, 3)
