--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Guards against a node that ends as it sends to a member while it has stepped out: there is no failure detector then.
+func TestSendOutsideTheFleetGoesNowhere(t *testing.T) {
+	m := newBareMesh("a")
+	m.send("a", m.newMessage(kindUserMessage))
+	m.sendTo(m.processes.byID["a"], m.newMessage(kindProbe))
+}
+
 // await runs a function on a process's goroutine, and waits for its end.
 func await(m *Mesh, f func()) {
 	done := make(chan struct{})
