Notify each member of a leave until it acknowledges it

What was seen: a member that was shut down in order is "gone" for some of the others for good, and "left" for the rest (TestKillIsDetected...: "never: n4 has left for all", seen since long). The list keeps it for 30 s more, a majority is counted against it, and an operator who upgrades sees a failure.

Cause: the leave goes by gossip, as new metadata, and the end of the process follows 0.1 to 0.8 s later, also by gossip. Memberlist's news of the end displaces the metadata in the senders' queues, and metadata of the same incarnation that comes later is ignored. The library's event does not tell a leave from a death: Node.State is shadowed by its own record's and always 0, so the branch for StateLeft never ran. It is removed.

Change: a process that leaves sends a notice (message kind 10) to each live process in each tick, 256 at most, until it is acknowledged (kind 11) or the leave's 0.8 s are over. What is known of leaves is also in the full state (new key "l", the newest 256), so that a member that was cut off learns it from the others: a leave outweighs a failure of the same process, and is never taken back. Older builds ignore the kinds and the key; with one of them in the fleet a leave takes its 0.8 s.

Not changed: a process that is killed after it has announced its leave counts as left, since nothing tells its end from a finished leave.

The wire test gained the two kinds and the key; the old forms stand in it as they were. The virtual network refused no stream of a member that is cut off, only those to it; it does now.

--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -35,13 +35,14 @@
 // GetBroadcasts has nothing to add to the gossip.
 func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
 
-// fullState is what processes exchange at a join and now and then: the member list, and incarnations of processes that
-// have ended. Processes of older builds read it, so its tags stay.
+// fullState is what processes exchange at a join and now and then: the member list, and incarnations and leaves of
+// processes that have ended. Processes of older builds read it, so its tags stay.
 type fullState struct {
 	Epoch      Epoch             `json:"e"`
 	MemberList []string          `json:"r"`
 	Previous   []string          `json:"b,omitempty"`
 	Highest    map[string]uint64 `json:"h"`
+	Departed   []string          `json:"l,omitempty"` // IDs of processes that leave or have left; older builds have none
 }
 
 // LocalState is this process's full state.
@@ -62,6 +63,7 @@
 		MemberList: m.quorum.list.names,
 		Previous:   m.quorum.list.previous,
 		Highest:    maps.Clone(m.incarnations.highest),
+		Departed:   m.departedIDs(),
 	}
 	for _, p := range m.processes.byID {
 		if !p.isLive() && p.metadata.Incarnation > state.Highest[p.name] {
@@ -84,7 +86,7 @@
 	}
 }
 
-// handleFullState takes the member list and the incarnations that another process remembers.
+// handleFullState takes the member list, the incarnations and the leaves that another process remembers.
 func (m *Mesh) handleFullState(state fullState) {
 	m.quorum.adoptMemberList(message{
 		Epoch:      state.Epoch,
@@ -92,4 +94,5 @@
 		Previous:   state.Previous,
 	})
 	m.incarnations.merge(state.Highest, m.cfg.Name)
+	m.markDeparted(state.Departed)
 }
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"log"
 
 	"github.com/hashicorp/memberlist"
@@ -106,15 +105,10 @@
 	m.viewStale = true
 	p.node = e.node
 	p.address = e.node.Address()
-	if len(e.node.Meta) > 0 {
-		_ = json.Unmarshal(e.node.Meta, &p.metadata) // what can't be read keeps its last value
-	}
-	state := Dead
-	switch {
-	case e.live:
-		state = Alive
-	case e.node.State == memberlist.StateLeft || p.metadata.Phase == phaseLeaving:
-		state = Left
+	p.updateMetadata(e.node.Meta)
+	state := Alive
+	if !e.live {
+		state = p.endState()
 	}
 	if state == Dead && p.isLive() {
 		m.reportDead(p) // it may answer yet
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -25,6 +25,10 @@
 		m.handleIndirectAck(msg)
 	case kindUserMessage:
 		m.handleUserMessage(msg)
+	case kindLeaving:
+		m.handleLeaving(msg)
+	case kindLeavingAck:
+		m.handleLeavingAck(msg)
 	default:
 		m.handleQuorumMessage(msg)
 	}
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -26,8 +26,6 @@
 	tickInterval         = 100 * time.Millisecond
 	pruneInterval        = time.Second
 	addressRetryInterval = 200 * time.Millisecond
-	leaveTimeout         = 800 * time.Millisecond // for the member list to be without this process
-	leavePollInterval    = tickInterval / 4
 	metadataTimeout      = time.Second
 	inboxSize            = 256 // messages that wait for the mesh's goroutine
 	eventQueueSize       = 4096
@@ -71,6 +69,7 @@
 	conflict      nameConflict
 	flaps         flapDamping
 	joiner        joiner
+	departure     departure
 	disagreements disagreements
 	memberLog     memberLog
 	members       map[string]Member // by name, as of the last view
@@ -138,6 +137,7 @@
 		incarnations:  newIncarnations(),
 		flaps:         newFlapDamping(),
 		joiner:        newJoiner(),
+		departure:     newDeparture(),
 		disagreements: newDisagreements(),
 		memberLog:     newMemberLog(cfg.Log),
 		members:       map[string]Member{},
@@ -188,37 +188,6 @@
 	}()
 }
 
-// Leave announces that this process leaves, waits up to 0.8 s for the member list to be without it, and for the others
-// to know that it leads no more, and ends the mesh.
-func (m *Mesh) Leave() {
-	m.announcePhase(phaseLeaving)
-	poll := time.NewTicker(leavePollInterval)
-	defer poll.Stop()
-	for end := time.Now().Add(leaveTimeout); time.Now().Before(end); <-poll.C {
-		done := make(chan bool, 1)
-		running := m.do(func() { done <- m.continueLeaving() })
-		if !running || <-done {
-			break
-		}
-	}
-	m.do(func() {
-		if m.detector != nil {
-			_ = m.detector.Leave(leaveTimeout / 4) // an error means that not all know in time
-		}
-	})
-	m.Close()
-}
-
-// continueLeaving gives up the lead once the member list is without this process, and reports whether all is done.
-func (m *Mesh) continueLeaving() (done bool) {
-	if m.quorum.list.contains(m.cfg.Name) || m.quorum.list.previous != nil {
-		return len(m.quorum.liveness.liveSince) == 1
-	}
-	out, done := m.quorum.giveUpLead(m.now(), m.view.Load().Digest)
-	m.sendAll(out)
-	return done
-}
-
 // Close ends the mesh without an announcement, as for a successor that takes the address over.
 func (m *Mesh) Close() {
 	m.stopOnce.Do(func() { close(m.stop) })
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -42,8 +42,10 @@
 	kindVoteReleased messageKind = 5 // nobody claims the sender's majority: its votes are free
 	kindProbe        messageKind = 6 // asks whether a process is there, or answers the receiver
 	kindProbeReply   messageKind = 7
-	kindIndirectAck  messageKind = 8 // the subject of a probe has answered the sender
-	kindUserMessage  messageKind = 9 // a body of another part of the program
+	kindIndirectAck  messageKind = 8  // the subject of a probe has answered the sender
+	kindUserMessage  messageKind = 9  // a body of another part of the program
+	kindLeaving      messageKind = 10 // the sender leaves: its end is no failure
+	kindLeavingAck   messageKind = 11 // the sender knows that the target process leaves
 )
 
 func (q *quorum) newMessage(kind messageKind, digest uint64) message {
--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -39,9 +39,9 @@
 	m.reachability.reportDead(p.id, m.now())
 }
 
-// confirmDead takes a process for dead.
+// confirmDead takes a process for dead, or for one that has left.
 func (m *Mesh) confirmDead(p *process) {
-	m.setState(p, Dead)
+	m.setState(p, p.endState())
 	m.reachability.forget(p.id)
 }
 
--- a/internal/membership/process.go
+++ b/internal/membership/process.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -55,18 +56,39 @@
 //	Dead             Alive    it answers after it was confirmed dead without a report
 //	Alive            Suspect  it did not answer a probe, or the failure detector reports it dead
 //	Suspect          Alive    it answers the failure detector, or that reports it live
-//	Alive, Suspect   Dead     it is confirmed dead
-//	any              Left     the failure detector reports that it left
+//	Alive, Suspect   Dead     it is confirmed dead, and is not known to leave
+//	Alive, Suspect   Left     the failure detector reports its end, or it is confirmed, and it is known to leave
+//	Dead             Left     another process knows that it left
 type process struct {
 	id       string
 	name     string
 	metadata metadata
 	address  string
 	node     memberlist.Node
+	leaving  bool  // it has announced that it leaves, which is never taken back
 	state    State // Alive, Suspect, Dead or Left
 	since    time.Duration
 }
 
+// updateMetadata takes what the process publishes of itself. What can't be read keeps its last value.
+func (p *process) updateMetadata(text []byte) {
+	if len(text) > 0 {
+		_ = json.Unmarshal(text, &p.metadata)
+	}
+	if p.leaving {
+		p.metadata.Phase = phaseLeaving
+	}
+	p.leaving = p.metadata.Phase == phaseLeaving
+}
+
+// endState is what the process is once it has ended.
+func (p *process) endState() State {
+	if p.leaving {
+		return Left
+	}
+	return Dead
+}
+
 // transition enters a state, and reports whether that is a change.
 func (p *process) transition(to State, now time.Duration) (changed bool) {
 	if p.state == to {
--- a/internal/membership/virtual_network_test.go
+++ b/internal/membership/virtual_network_test.go
@@ -135,7 +135,7 @@
 
 func (e *virtualEndpoint) DialAddressTimeout(address memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	to := e.network.find(address.Addr)
-	if to == nil || to.down.Load() {
+	if to == nil || to.down.Load() || e.down.Load() {
 		return nil, errVirtualRefused
 	}
 	local, remote := net.Pipe()
--- a/internal/membership/virtual_test.go
+++ b/internal/membership/virtual_test.go
@@ -160,10 +160,13 @@
 }
 
 // countDead is how many members see one as dead.
-func (f *virtualFleet) countDead(i int) int {
+func (f *virtualFleet) countDead(i int) int { return f.countState(i, Dead) }
+
+// countState is how many members see one in a state.
+func (f *virtualFleet) countState(i int, state State) int {
 	count := 0
 	for _, m := range f.meshes {
-		if m != nil && m.newestState(virtualName(i)) == Dead {
+		if m != nil && m.newestState(virtualName(i)) == state {
 			count++
 		}
 	}
--- a/internal/membership/wire_test.go
+++ b/internal/membership/wire_test.go
@@ -61,9 +61,12 @@
 			`"k":2,"t":10,"q":11,"v":12,"l":13,"h":true,"w":true,` +
 			`"y":{"x":1},"a":"n1~0a"}`},
 		"kinds": {[]messageKind{kindMemberList, kindHeartbeat, kindVote, kindStepDown, kindStepDownAck, kindVoteReleased,
-			kindProbe, kindProbeReply, kindIndirectAck, kindUserMessage}, `[0,1,2,3,4,5,6,7,8,9]`},
-		"full state": {fullState{wireEpoch, []string{"a"}, []string{"b"}, map[string]uint64{"a": 1}},
+			kindProbe, kindProbeReply, kindIndirectAck, kindUserMessage, kindLeaving, kindLeavingAck},
+			`[0,1,2,3,4,5,6,7,8,9,10,11]`},
+		"full state": {fullState{wireEpoch, []string{"a"}, []string{"b"}, map[string]uint64{"a": 1}, nil},
 			`{"e":{"number":7,"leader":"n1"},"r":["a"],"b":["b"],"h":{"a":1}}`},
+		"full state with a leave": {fullState{wireEpoch, []string{"a"}, nil, map[string]uint64{}, []string{"c~01"}},
+			`{"e":{"number":7,"leader":"n1"},"r":["a"],"h":{},"l":["c~01"]}`},
 		"metadata": {metadata{1, phaseAlive, "z", "r", 2, "v", "d"}, `{"i":1,"p":"a","z":"z","r":"r","t":2,"v":"v","d":"d"}`},
 		"phases":   {[]string{phaseJoining, phaseAlive, phaseLeaving}, `["j","a","l"]`},
 		"member": {wireMember, `{"name":"n","state":"gone","zone":"z","region":"r","tier":1,"incarnation":2,"version":"v",` +
