Find out servers that respond twice late, and keep requests off them

What callers saw: the response to another client's request. A server that answers twice, the second time over 20 ms late, has its second response served to whoever is next on that connection. No counter saw it.

Cause: nothing in a response tells which request it is for. The idle period of 20 ms covers what comes sooner; bytes on an idle connection closed it, but what they say of the server was forgotten, and its other connections were used again in the same way.

Change: a server that sends unasked bytes 10 ms after a response or later gets one request on each connection until it starts again. A request that is not idempotent goes on a connection idle for 0.25 s, or on a new one. unexpected_responses counts them, a log line names the server, and a 408 on an idle connection is no second response.

Evidence: TestServerThatRespondsTwiceLateIsFoundOut, second responses 60 ms late, on the code before: "4 of 8 requests got another's response" for both classes.

--- a/internal/metrics/decisions.go
+++ b/internal/metrics/decisions.go
@@ -73,6 +73,7 @@
 	violations        verdictCounters // each one is a fault of this node
 	closedConnections [numberOfCloseCauses]atomic.Int64
 	failedAccepts     atomic.Int64
+	unexpected        atomic.Int64 // responses that no request asked for
 	suppressedLines   atomic.Int64 // log lines over the limits
 }
 
@@ -135,6 +136,13 @@
 	d.logLimited(d.decisionLimit, slog.LevelWarn, "accept failed", "err", err)
 }
 
+// UnexpectedResponse counts bytes of an endpoint that no request asked for. One that responds twice may have crossed the
+// next request on its connection before: that client got another's response.
+func (d *Decisions) UnexpectedResponse(endpoint string) {
+	d.unexpected.Add(1)
+	d.logLimited(d.decisionLimit, slog.LevelWarn, "unexpected response", "server", endpoint)
+}
+
 // ConnectionClosed counts a client connection that the node closed.
 func (d *Decisions) ConnectionClosed(cause CloseCause) { d.closedConnections[cause].Add(1) }
 
@@ -146,6 +154,7 @@
 	Violations        map[string]int64 `json:"violations"`
 	ClosedConnections map[string]int64 `json:"connections_closed"`
 	FailedAccepts     int64            `json:"failed_accepts"`
+	Unexpected        int64            `json:"unexpected_responses"`
 	SuppressedLines   int64            `json:"log_lines_left_out"`
 }
 
@@ -158,6 +167,7 @@
 		Violations:        d.violations.nonZero(),
 		ClosedConnections: map[string]int64{},
 		FailedAccepts:     d.failedAccepts.Load(),
+		Unexpected:        d.unexpected.Load(),
 		SuppressedLines:   d.suppressedLines.Load(),
 	}
 	for cause, name := range closeCauseNames {
--- a/internal/node/connection_race_test.go
+++ b/internal/node/connection_race_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -319,3 +320,63 @@
 		}
 	}
 }
+
+// Guards against a client that is served another's response: a server's second response to a request comes later than
+// a connection rests, and crosses the next request. Nothing tells the first such response from a true one; after it no
+// connection of the server carries a second request, and a request that is not idempotent takes no such connection.
+func TestServerThatRespondsTwiceLateIsFoundOut(t *testing.T) {
+	const late = 3 * minIdlePeriod // the second response
+	for class, allowed := range map[string]int{"safe": 1, "unsafe": 0} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(n int, c net.Conn, r *http.Request) bool {
+				if n > 1 {
+					time.Sleep(2 * late) // the second response to the request before comes first
+				}
+				id := r.Header.Get("X-Call-Id")
+				time.AfterFunc(late, func() { respond(c, "200 OK", id) })
+				return respond(c, "200 OK", id)
+			})
+			_, ln := gatedNode(t, b)
+			c := ln.dial(t)
+			foreign := 0
+			for i := range 8 {
+				id := strconv.Itoa(i)
+				c.send(t, text(class, id, ""))
+				resp, err := http.ReadResponse(c.in, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if string(body) != id {
+					foreign++
+				}
+				if i%2 == 0 {
+					time.Sleep(late / 2) // the next request crosses the second response
+				} else {
+					time.Sleep(3 * late) // the true response to it comes while the connection rests
+				}
+			}
+			if foreign > allowed {
+				t.Errorf("%d of 8 requests got another's response, want %d at most", foreign, allowed)
+			}
+		})
+	}
+}
+
+// A server may announce the end of an idle connection: that is no second response, and its connections are used again.
+func TestAnnouncedIdleTimeoutIsNoSecondResponse(t *testing.T) {
+	for text, notice := range map[string]bool{
+		"HTTP/1.1 408 Request Timeout\r\n": true,
+		"HTTP/1.1 408":                     true,
+		"HTTP/1.1 200 OK\r\n":              false,
+		"HTTP/1.1 40":                      false,
+	} {
+		if got := isTimeoutNotice([]byte(text)); got != notice {
+			t.Errorf("%q is a notice: %v, want %v", text, got, notice)
+		}
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -15,13 +15,7 @@
 	"keelusher/internal/metrics"
 )
 
-const (
-	maxResponseHead = 16 << 10 // with the interim responses before it
-
-	// minIdlePeriod is how long a connection is idle between a response and the next request. A server may respond
-	// twice, the second time some milliseconds late, and nothing in that response tells which request it is for.
-	minIdlePeriod = 20 * time.Millisecond
-)
+const maxResponseHead = 16 << 10 // with the interim responses before it
 
 var (
 	errPoolClosed      = errors.New("the node is shutting down")
@@ -36,6 +30,9 @@
 	unavailable atomic.Bool // draining or removed: no attempt may be sent to it
 	removedAt   atomicTime  // when the node learned of that
 
+	// respondsLate is set once it has sent late bytes that no request asked for: its connections carry one request each.
+	respondsLate atomic.Bool
+
 	idle []*serverConn // guarded by pool.mu, the most recently used last
 }
 
@@ -56,6 +53,8 @@
 	decisions    *metrics.Decisions
 	removalGrace time.Duration // for so long after its removal is known, an endpoint may still get attempts
 
+	nonIdempotent map[string]bool // by class
+
 	mu      sync.Mutex
 	limit   int // on connections
 	open    map[*serverConn]bool
@@ -78,31 +77,19 @@
 		buffers:          b,
 		decisions:        l.decisions,
 		removalGrace:     cfg.removalGrace,
+		nonIdempotent:    nonIdempotentClasses(cfg.Settings.Classes),
 		limit:            limit,
 		open:             map[*serverConn]bool{},
 		idle:             list.New(),
 	}
 }
 
-// pickIdle chooses among the idle connections of an endpoint, of which there is one at least: the most recently used
-// that has been idle for minIdlePeriod, else the one that will have been next, with the time until then. The caller
-// holds pool.mu.
-func (e *endpoint) pickIdle(now time.Time) (c *serverConn, wait time.Duration) {
-	for _, c := range slices.Backward(e.idle) {
-		if now.Sub(c.idleSince) >= minIdlePeriod {
-			return c, 0
-		}
-	}
-	c = e.idle[0]
-	return c, minIdlePeriod - now.Sub(c.idleSince)
-}
-
 // acquire returns a connection for an attempt: an idle one, else a new one.
 func (p *pool) acquire(att *attempt) (*serverConn, error) {
 	deadline := p.clock.at(att.deadline)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.acquireIdle(att.endpoint, deadline); c != nil {
+	if c := p.acquireIdle(att, deadline); c != nil {
 		return c, nil
 	}
 	if !p.evictIdle() {
@@ -121,30 +108,6 @@
 	return p.add(connected, att.endpoint, deadline)
 }
 
-// acquireIdle returns an idle connection of an endpoint that passes the reuse check; nil: there is none. The caller
-// holds the lock, which is released during a wait.
-func (p *pool) acquireIdle(e *endpoint, deadline time.Time) *serverConn {
-	for len(e.idle) > 0 {
-		c, wait := e.pickIdle(time.Now())
-		if wait > 0 && !p.full() {
-			return nil // a new connection is ready sooner
-		}
-		c.transition(serverConnAcquired)
-		c.setDeadline(deadline)
-		if wait > 0 {
-			p.mu.Unlock()
-			time.Sleep(wait)
-			p.mu.Lock()
-		}
-		if c.state != serverConnClosed && c.claimForReuse() {
-			return c
-		}
-		p.metrics.Update(func(c *metrics.Counters) { c.StaleConnections++ })
-		c.transition(serverConnDropped) // nothing of this attempt was written on it
-	}
-	return nil
-}
-
 // full reports whether the limit on connections is reached. The caller holds the lock.
 func (p *pool) full() bool { return len(p.open)+p.dialing >= p.limit }
 
@@ -199,17 +162,6 @@
 	_ = c.SetDeadline(deadline)
 }
 
-// release returns a connection to the pool, for the next attempt.
-func (p *pool) release(c *serverConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.endpoint.unavailable.Load() {
-		c.transition(serverConnDropped)
-		return
-	}
-	c.transition(serverConnReleased)
-}
-
 // addIdle makes a connection available to the next attempt. The caller holds the lock.
 func (p *pool) addIdle(c *serverConn) {
 	c.endRequest()
@@ -239,9 +191,7 @@
 func (p *pool) retire(e *endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(e.idle) > 0 {
-		e.idle[len(e.idle)-1].transition(serverConnDropped)
-	}
+	e.dropIdle()
 }
 
 // shutdown closes all connections and waits until every attempt has ended. Their requests have been answered or
--- a/internal/node/response_stream.go
+++ b/internal/node/response_stream.go
@@ -51,5 +51,9 @@
 
 // closeIfBytesFollow makes sure that bytes after a response are not taken for the next request's response.
 func (s *responseStream) closeIfBytesFollow() {
-	s.response.Close = s.response.Close || s.conn.reader.Buffered() > 0
+	if s.conn.reader.Buffered() == 0 {
+		return
+	}
+	s.response.Close = true
+	s.conn.pool.decisions.UnexpectedResponse(s.conn.endpoint.id)
 }
--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -31,8 +31,9 @@
 	replies      chan reply    // from readResponses, its owner, to the attempt; holds one
 	done         chan struct{} // closed as the state becomes serverConnClosed
 
-	readMu   sync.Mutex // held over each read of the socket and the record of what it gave
-	exchange exchangeState
+	readMu     sync.Mutex // held over each read of the socket and the record of what it gave
+	exchange   exchangeState
+	quietSince time.Time // the last request on the connection ended; guarded by readMu
 
 	// Guarded by pool.mu.
 	state       serverConnState
@@ -90,7 +91,7 @@
 		defer c.readMu.Unlock()
 		n, readErr = readUninterrupted(int(fd), b)
 		if n > 0 {
-			c.exchange = c.exchange.transition(bytesReceived)
+			c.receive(b[:n])
 		}
 		return !errors.Is(readErr, syscall.EAGAIN)
 	})
@@ -106,6 +107,15 @@
 	return n, nil
 }
 
+// receive records bytes that were read: without a request they are unexpected. The caller holds readMu.
+func (c *serverConn) receive(received []byte) {
+	next := c.exchange.transition(bytesReceived)
+	if next == exchangeUnexpected && c.exchange != next {
+		c.recordUnexpected(received)
+	}
+	c.exchange = next
+}
+
 // readUninterrupted is read(2), repeated when a signal interrupts it.
 func readUninterrupted(fd int, b []byte) (int, error) {
 	for {
@@ -123,10 +133,14 @@
 	defer c.readMu.Unlock()
 	err := c.raw.Control(func(fd uintptr) {
 		event := requestEnded
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		var received [statusOffset + len(statusTimeout)]byte
+		n, _, err := syscall.Recvfrom(int(fd), received[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		if errors.Is(err, syscall.EAGAIN) { // nothing has come
 			event = requestStarted
 		}
+		if n > 0 {
+			c.recordUnexpected(received[:n])
+		}
 		c.exchange = c.exchange.transition(event)
 	})
 	return err == nil && c.exchange == exchangeAwaiting
@@ -136,6 +150,9 @@
 func (c *serverConn) endRequest() {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
+	if c.exchange == exchangeAwaiting {
+		c.quietSince = time.Now()
+	}
 	c.exchange = c.exchange.transition(requestEnded)
 }
 
