Play series of signals, crowds and membership in the soak

New rules: 20 s after the last fault each running node sees each other one alive ("members differ"), and no override is in force past its end ("override outlived"). - A run that takes over 3 minutes is an error.

The first form hung for want of an end of its clients; hence the bound.

--- a/cmd/balancer-testbed/soak.go
+++ b/cmd/balancer-testbed/soak.go
@@ -110,7 +110,11 @@
 	a := r.Account
 	fmt.Printf("seed %d: taken %d = answered %d + left %d + cut off %d + lost %d; ",
 		r.Seed, a.Taken, a.Answered, a.Left, a.CutOff, a.Lost)
-	fmt.Printf("ends %v; testbed late %v; own violations %v; broken: %v\n", r.Ends, r.Lateness, r.Violations, r.Broken)
+	fmt.Printf("ends %v; testbed late %v; own violations %v; ", r.Ends, r.Lateness, r.Violations)
+	if r.Membership {
+		fmt.Printf("membership on, overrides issued %d, refused %d; ", r.OverridesIssued, r.OverridesRefused)
+	}
+	fmt.Printf("broken: %v\n", r.Broken)
 	for i, f := range r.Faults {
 		fmt.Printf("   fault %d: %s\n", i, f)
 	}
--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -65,6 +65,7 @@
 	name      string
 	dial      func(context.Context) (net.Conn, string, error) // to some node, with its name
 	checkBody bool                                            // answers must be what a server made
+	idPrefix  string                                          // of the requests that the client makes up itself
 
 	mu      sync.Mutex
 	idle    []*clientConn
--- a/internal/testbed/fault.go
+++ b/internal/testbed/fault.go
@@ -19,7 +19,9 @@
 	FaultStop                  FaultKind = "stop"
 	FaultPause                 FaultKind = "hold"
 	FaultReload                FaultKind = "reload"
+	FaultSignals               FaultKind = "signals"
 	FaultImproperClients       FaultKind = "peers"
+	FaultCrowd                 FaultKind = "crowd"
 	FaultCrash                 FaultKind = "crash"
 	FaultSlow                  FaultKind = "slow"
 	FaultErrors                FaultKind = "errors"
@@ -49,11 +51,15 @@
 // Kinds that name Target, a pattern of nodes ("n1", "n*", "n@front-?"), servers ("rooms-*") or zones:
 //
 //	kill      SIGKILL a node; started again after For (0: never)
-//	term      SIGTERM a node; started again once it has ended and For is over
+//	term      SIGTERM a node; started again once it has ended and For is over. Clients, each on a connection of its own,
+//	          send on it until it ends
 //	stop      SIGSTOP a node for For
 //	hold      SIGSTOP a node for For, 20 to 150 ms, Pick times in a row; it counts as a slow machine, and excuses nothing
+//	signals   send a node Signals, one Gap after another; where SIGTERM is among them, as term. Its stops count as hold
 //	reload    move a node's discovery to another address, and SIGHUP
 //	peers     Pick improper clients connect to a node and stop in the middle of a request, idle or flood
+//	crowd     Pick clients fill the connections of a node for For: proper ones that rest, proper ones that leave, and
+//	          others that never complete a head
 //	crash     end a server and its node; started again, in slow start, after For (0: never)
 //	slow      a server's work takes Factor times longer
 //	errors    a server answers a Share of its requests with 500
@@ -90,6 +96,10 @@
 	Nodes  bool          `toml:"nodes"`
 	Late   time.Duration `toml:"late"`
 
+	Clients int           `toml:"clients"` // of each target
+	Signals []Signal      `toml:"signals"`
+	Gap     time.Duration `toml:"gap"` // between one signal and the next
+
 	Delay    time.Duration `toml:"delay"`
 	Jittered time.Duration `toml:"jittered"`
 	Loss     float64       `toml:"loss"`
@@ -110,7 +120,9 @@
 	FaultStop:            {nodes: true, lasts: true},
 	FaultPause:           {nodes: true, lasts: true},
 	FaultReload:          {nodes: true},
+	FaultSignals:         {nodes: true},
 	FaultImproperClients: {nodes: true},
+	FaultCrowd:           {nodes: true, lasts: true},
 
 	FaultCrash:            {servers: true},
 	FaultSlow:             {servers: true, lasts: true},
@@ -192,7 +204,7 @@
 	if !ok {
 		return &KeyError{prefix + "kind", fmt.Sprintf("%q is none of %s", f.Kind, knownKinds())}
 	}
-	if f.At < 0 || f.For < 0 || f.Jitter < 0 || f.Every < 0 {
+	if f.At < 0 || f.For < 0 || f.Jitter < 0 || f.Every < 0 || f.Gap < 0 {
 		return &KeyError{prefix + "at", "a time is negative"}
 	}
 	if kind.lasts && f.For == 0 {
@@ -249,6 +261,14 @@
 	if f.Kind == FaultSlow && !(f.Factor > 1) {
 		return &KeyError{prefix + "factor", "slow needs one above 1"}
 	}
+	if f.Kind == FaultSignals && len(f.Signals) == 0 {
+		return &KeyError{prefix + "signals", "signals needs one at least"}
+	}
+	for _, signal := range f.Signals {
+		if _, known := signalNumbers[signal]; !known {
+			return &KeyError{prefix + "signals", fmt.Sprintf("%q is none of term, hup, stop, cont", signal)}
+		}
+	}
 	if (f.Kind == FaultErrors || f.Kind == FaultCorruptResponses) && f.Share == 0 {
 		return &KeyError{prefix + "share", string(f.Kind) + " needs one above 0"}
 	}
@@ -312,7 +332,9 @@
 	if err != nil {
 		return nil, err
 	}
-	picksTargets := f.Kind != FaultImproperClients && f.Kind != FaultPause // Pick is a count of something else there
+	// Pick is a count of something else for these.
+	countsOther := f.Kind == FaultImproperClients || f.Kind == FaultPause || f.Kind == FaultCrowd
+	picksTargets := !countsOther
 	if picksTargets && f.Pick > 0 && f.Pick < len(targets) {
 		r.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 		targets = targets[:f.Pick]
@@ -322,7 +344,11 @@
 
 // endsByStep reports whether a step of its own ends the fault.
 func (f *Fault) endsByStep() bool {
-	return f.For > 0 && f.Kind != FaultDrain && f.Kind != FaultTerminate && f.Kind != FaultPause
+	switch f.Kind {
+	case FaultDrain, FaultTerminate, FaultPause, FaultSignals, FaultCrowd:
+		return false
+	}
+	return f.For > 0
 }
 
 // LinksOfFaults returns the link patterns that the faults need a proxy for.
--- a/internal/testbed/fault_handlers.go
+++ b/internal/testbed/fault_handlers.go
@@ -57,7 +57,9 @@
 		}
 		node.Kill()
 	case FaultTerminate:
-		return tb.terminateAndRestart(ctx, node, s.Fault.For)
+		return tb.terminateAndRestart(ctx, node, s.Fault)
+	case FaultSignals:
+		return tb.sendSignals(ctx, node, s.Fault)
 	case FaultStop:
 		if s.Ends {
 			return node.Continue()
@@ -73,21 +75,12 @@
 		return node.Reload()
 	case FaultImproperClients:
 		tb.runImproperClients(ctx, node, s.Fault.Pick)
+	case FaultCrowd:
+		tb.runCrowd(ctx, node, s.Fault.Pick, s.Fault.For)
 	}
 	return nil
 }
 
-// terminateAndRestart ends a node with SIGTERM and starts it again after a while.
-func (tb *Testbed) terminateAndRestart(ctx context.Context, node *Node, after time.Duration) error {
-	if node.Terminate() {
-		tb.checker.addFinding(Crash, "", node.name, "did not end in time after SIGTERM")
-	}
-	if !sleep(ctx, after) {
-		return nil
-	}
-	return node.restart(ctx)
-}
-
 // applyServerFault carries out a step of a fault whose target is a server.
 func (tb *Testbed) applyServerFault(ctx context.Context, server *Server, s Step) error {
 	switch s.Fault.Kind {
--- a/internal/testbed/mesh.go
+++ b/internal/testbed/mesh.go
@@ -83,6 +83,7 @@
 
 // States of members, as nodes name and log them.
 const (
+	StateAlive     = "alive"
 	stateSuspected = "suspect"
 	stateDead      = "gone"
 	stateLeft      = "left"
--- a/internal/testbed/node.go
+++ b/internal/testbed/node.go
@@ -31,6 +31,7 @@
 	process        *process
 	starts         int
 	paused         atomic.Bool
+	wasReady       atomic.Bool // the present process has been
 }
 
 // Name is the node's name, the same after a restart.
@@ -174,6 +175,7 @@
 		return err
 	}
 	n.testbed.checker.forgetNotifications(n.name)
+	n.wasReady.Store(false)
 	return n.process.start()
 }
 
@@ -183,28 +185,6 @@
 	n.process.kill()
 }
 
-// Terminate sends SIGTERM and waits for the end, which it brings by SIGKILL after the longest deadline and 0.7 s. It
-// reports whether that was needed.
-func (n *Node) Terminate() (killed bool) {
-	longest := 3 * time.Second
-	for _, c := range n.testbed.world.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	_ = n.process.signal(syscall.SIGTERM) // fails only where it has ended
-	if _, exited := n.process.running(); exited != nil {
-		select {
-		case <-exited:
-		case <-time.After(longest + 700*time.Millisecond):
-			n.process.kill()
-			killed = true
-		}
-	}
-	if killed {
-		n.testbed.intervals.begin(n.name, n.testbed.now())
-	}
-	return killed
-}
-
 // Running reports that there is a process in the node's place.
 func (n *Node) Running() bool {
 	running, _ := n.process.running()
@@ -298,6 +278,7 @@
 	for look := time.NewTicker(20 * time.Millisecond); ; {
 		if n.Ready(ctx) {
 			look.Stop()
+			n.wasReady.Store(true)
 			n.testbed.linksTo(n.name, gateOpen)
 			n.testbed.intervals.end(n.name, n.testbed.now())
 			return nil
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -62,6 +62,7 @@
 	endExpected bool      // the testbed ends it
 	killed      bool      // by SIGKILL
 	stopped     bool
+	startedAt   time.Time     // of the present run
 	exited      chan struct{} // closed at its end
 	pastCPU     time.Duration // processor time of earlier runs
 }
@@ -84,6 +85,7 @@
 		return fmt.Errorf("%s: %w", p.name, err)
 	}
 	p.cmd, p.endExpected, p.killed, p.stopped, p.exited = c, false, false, false, make(chan struct{})
+	p.startedAt = time.Now()
 	go p.wait(c, p.exited)
 	return nil
 }
@@ -159,6 +161,16 @@
 	return p.cmd != nil, p.exited
 }
 
+// uptime is how long it has been running; 0: it is not.
+func (p *process) uptime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return time.Since(p.startedAt)
+}
+
 // kill ends it at once and waits for its end.
 func (p *process) kill() {
 	_ = p.signal(syscall.SIGKILL) // fails only where it has ended
--- a/internal/testbed/rules.go
+++ b/internal/testbed/rules.go
@@ -27,8 +27,10 @@
 	ImproperClientKept  Rule = "improper client kept" // an improper client got neither an error nor a close in time
 	// a node forwarded a request whose connection it closed unanswered
 	ForwardedUnread       Rule = "ran though given back"
-	SelfReportedViolation Rule = "own violation"   // a node counted a violation of its own
-	CountersDiffer        Rule = "counters differ" // a node's counters disagree with what the servers saw
+	SelfReportedViolation Rule = "own violation"     // a node counted a violation of its own
+	CountersDiffer        Rule = "counters differ"   // a node's counters disagree with what the servers saw
+	MembersDiffer         Rule = "members differ"    // a node does not see another one alive, long after the last fault
+	OverrideOutlived      Rule = "override outlived" // an override was in force after its end
 )
 
 // Finding is one violation of a rule.
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -29,10 +29,11 @@
 
 // Plan is a run as drawn from its seed.
 type Plan struct {
-	Seed   uint64
-	World  testbed.World
-	Load   testbed.Load
-	Faults []testbed.Fault // their indexes number them for Keep
+	Seed      uint64
+	World     testbed.World
+	Load      testbed.Load
+	Faults    []testbed.Fault // their indexes number them for Keep
+	Overrides []Override      // only where the nodes have membership
 }
 
 // NewPlan draws the run of a seed.
@@ -42,6 +43,7 @@
 	for _, at := range []time.Duration{firstCluster, secondCluster} {
 		p.Faults = append(p.Faults, cluster(r, at)...)
 	}
+	p.extend(rand.New(rand.NewPCG(seed, 12)))
 	return p
 }
 
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +15,11 @@
 	"keelusher/internal/testbed"
 )
 
+// runTimeout bounds a run, whose own times add up to less than half of it.
+const runTimeout = 3 * time.Minute
+
+var errRunTimeout = errors.New("the run took too long")
+
 // Result is what came of a run.
 type Result struct {
 	Seed       uint64               `json:"seed"`
@@ -27,10 +33,16 @@
 	NotSent    map[string]int64     `json:"attempts_not_sent"`
 	Rejected   map[string]int64     `json:"requests_turned_away"`
 	Lateness   time.Duration        `json:"lateness"` // of the testbed itself, at worst
+
+	Membership       bool `json:"membership"` // the nodes had it
+	OverridesIssued  int  `json:"overrides_issued"`
+	OverridesRefused int  `json:"overrides_refused"` // for want of a majority
 }
 
 // Run runs a plan with a node program. Logs of the nodes and the result stay in dir.
 func Run(ctx context.Context, p *Plan, binary string, shim []string, dir string) (*Result, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, runTimeout, errRunTimeout)
+	defer cancel()
 	w := p.World
 	w.Binary, w.Shim, w.Dir = binary, shim, filepath.Join(dir, fmt.Sprint("seed-", p.Seed))
 	w.Links = testbed.LinksOfFaults(p.Faults)
@@ -60,29 +72,36 @@
 		Rejected:   map[string]int64{},
 	}
 	for _, f := range p.Faults {
-		r.Faults = append(
-			r.Faults,
-			fmt.Sprintf("%s %s%s->%s at %v for %v", f.Kind, f.Target, f.From, f.To, f.At.Round(time.Millisecond), f.For),
-		)
+		r.Faults = append(r.Faults, describe(f))
 	}
 	r.drive(ctx, tb, p, steps, testbed.Draw(&w, &p.Load, length, p.Seed))
-	select {
-	case <-time.After(quietAfter):
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if !sleepUntil(ctx, time.Now().Add(quietAfter)) {
+		return nil, fmt.Errorf("seed %d: %w", p.Seed, context.Cause(ctx))
 	}
 	for _, n := range tb.Nodes() {
 		if n.Running() { // the nodes of removed servers are not
 			r.compare(ctx, tb, n)
 		}
 	}
+	if r.Membership = p.World.Fleet != nil; r.Membership {
+		checkMembers(ctx, tb)
+	}
 	r.Found, r.Broken = tb.Findings()
 	r.Account = tb.Checker().Account()
 	r.Lateness = tb.Lateness(0, tb.Now())
 	return r, r.write(w.Dir)
 }
 
-// drive runs load and faults side by side.
+// describe names a fault in results.
+func describe(f testbed.Fault) string {
+	text := fmt.Sprintf("%s %s%s->%s at %v for %v", f.Kind, f.Target, f.From, f.To, f.At.Round(time.Millisecond), f.For)
+	if len(f.Signals) > 0 {
+		text += fmt.Sprintf(" %v, %v apart", f.Signals, f.Gap.Round(time.Millisecond))
+	}
+	return text
+}
+
+// drive runs load, faults and overrides side by side.
 func (r *Result) drive(
 	ctx context.Context,
 	tb *testbed.Testbed,
@@ -91,10 +110,14 @@
 	arrivals []testbed.Arrival,
 ) {
 	var mu sync.Mutex
-	var both sync.WaitGroup
-	both.Add(1)
+	var all sync.WaitGroup
+	all.Add(2)
+	go func() {
+		defer all.Done()
+		r.runOverrides(ctx, tb, p)
+	}()
 	go func() {
-		defer both.Done()
+		defer all.Done()
 		tb.RunSchedule(ctx, steps, func(at time.Duration, what string) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -106,7 +129,7 @@
 		defer mu.Unlock()
 		r.Ends[s.End]++
 	})
-	both.Wait()
+	all.Wait()
 }
 
 var adminClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
