--- a/internal/node/reuse.go
+++ b/internal/node/reuse.go
@@ -14,7 +14,7 @@
 // How long a connection is idle between a response and the next request.
 const (
 	minIdlePeriod           = 20 * time.Millisecond
-	nonIdempotentIdlePeriod = 250 * time.Millisecond // where a new connection may be made instead
+	nonIdempotentIdlePeriod = 100 * time.Millisecond // where a new connection may be made instead
 )
 
 // lateResponseAfter is how long after a response another one, unasked for, is late: near to the idle period.
