Look at the view of a process outside the fleet once it has followed

What was seen: check.sh, TestReportsOfAShutDetectorAreNotRead, "outside the fleet it has a member that is alive".

Cause: the test. The view is published in the next tick after a step-out; the test looked at once, and read the view of before.

Change: it waits until the view has followed, then lets the shut detector report, and looks 0.3 s later: the event has been read by then, if anybody reads it. That is stricter than the look at once.

--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -100,7 +100,9 @@
 		shut.NotifyLeave(&node)
 		_, _ = shut.Write([]byte("Suspect " + node.Name + " has failed, no acks received")) // never fails
 	}
+	eventually(t, "it is outside", func() bool { return stateOf(m, "n0") == -1 }) // the view follows within a tick
 	shut.NotifyJoin(&node)
+	time.Sleep(3 * tickInterval)
 	if state := stateOf(m, "n0"); state != -1 {
 		t.Errorf("outside the fleet it has a member that is %s", state)
 	}
