Wait in the test of the counters until the last attempt is counted

What was seen: check.sh beside three busy loops, TestCounters: "got AttemptsWritten:5 ..., want AttemptsWritten:6", everything else equal.

Cause: the test. An attempt is counted once its write has returned; the test read the counters as soon as the server had the request, which may be before that.

Change: the test waits until the sixth attempt is counted, then compares all counters as before: a count that stays wrong still fails it.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -256,6 +256,8 @@
 		held <- true
 	}()
 	eventually(t, "it is out", func() bool { return good.requests() == 6 })
+	// An attempt is counted a moment after the server has it.
+	eventually(t, "it is counted", func() bool { return read().AttemptsWritten == 6 })
 	want := metrics.CountersPage{
 		Succeeded:        metrics.CountByName{"unsafe": 2, "keyed": 1, "safe": 0},
 		Rejected:         metrics.CountByName{"unsafe": 1, "keyed": 0, "safe": 0},
