--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -95,5 +95,5 @@
 		Previous:   state.Previous,
 	})
 	m.incarnations.merge(state.Highest, m.cfg.Name)
-	m.markDeparted(state.Departed)
+	m.noteDeparted(state.Departed)
 }
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -61,20 +61,20 @@
 // notifyLeaving lets the live processes that have not acknowledged it know that this one leaves, again in each tick. It
 // reports whether all have.
 func (m *Mesh) notifyLeaving() (all bool) {
-	var lacking []*process
+	var unnotified []*process
 	for _, p := range m.processes.byID {
 		if p.isLive() && !m.departure.acknowledged[p.id] {
-			lacking = append(lacking, p)
+			unnotified = append(unnotified, p)
 		}
 	}
 	if m.now() < m.departure.nextNotice {
-		return len(lacking) == 0
+		return len(unnotified) == 0
 	}
 	m.departure.nextNotice = m.now() + tickInterval
-	for _, p := range lacking[:min(len(lacking), maxLeaveNotices)] {
+	for _, p := range unnotified[:min(len(unnotified), maxLeaveNotices)] {
 		m.sendTo(p, m.newMessage(kindLeaving))
 	}
-	return len(lacking) == 0
+	return len(unnotified) == 0
 }
 
 // handleLeaving takes another process's notice that it leaves, and acknowledges it.
@@ -83,7 +83,7 @@
 	if p == nil {
 		return // the failure detector does not know it yet; the notice comes again
 	}
-	m.markLeaving(p)
+	m.noteLeaving(p)
 	reply := m.newMessage(kindLeavingAck)
 	reply.TargetProcess = msg.Process
 	m.sendTo(p, reply)
@@ -96,9 +96,9 @@
 	}
 }
 
-// markLeaving notes that a process leaves, or has left: that is never taken back, and its end is no failure, though
+// noteLeaving notes that a process leaves, or has left: that is never taken back, and its end is no failure, though
 // it was taken for one before.
-func (m *Mesh) markLeaving(p *process) {
+func (m *Mesh) noteLeaving(p *process) {
 	if p.leaving {
 		return
 	}
@@ -126,12 +126,12 @@
 	return ids
 }
 
-// markDeparted takes another process's departedIDs: its word that a process has left outweighs this one's finding that
+// noteDeparted takes another process's departedIDs: its word that a process has left outweighs this one's finding that
 // it failed.
-func (m *Mesh) markDeparted(ids []string) {
+func (m *Mesh) noteDeparted(ids []string) {
 	for _, id := range ids {
 		if p := m.processes.byID[id]; p != nil {
-			m.markLeaving(p)
+			m.noteLeaving(p)
 		}
 	}
 }
--- a/internal/membership/leave_test.go
+++ b/internal/membership/leave_test.go
@@ -59,7 +59,7 @@
 	m := newBareMesh("a", "b")
 	p := m.processes.byID["a"]
 	m.setState(p, Dead)
-	m.markDeparted([]string{"a", "unknown"})
+	m.noteDeparted([]string{"a", "unknown"})
 	if p.state != Left {
 		t.Errorf("taken for dead, and known to have left: %s", p.state)
 	}
--- a/internal/testbed/crowd.go
+++ b/internal/testbed/connection_flood.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// Times of the clients of a crowd.
+// Times of the clients of a connection flood.
 const (
-	crowdSpacing  = 2 * time.Millisecond // between two that connect
-	crowdPause    = 2 * time.Second      // of a client between two requests, or two connections
+	floodSpacing  = 2 * time.Millisecond // between two that connect
+	floodPause    = 2 * time.Second      // of a client between two requests, or two connections
 	headByteEvery = 200 * time.Millisecond
 	minLeaveAfter = time.Millisecond
 	maxLeaveAfter = 50 * time.Millisecond
@@ -79,9 +79,9 @@
 	}
 }
 
-// runCrowd fills the connections of a node for a while. Of five clients three rest between requests, one never
-// completes a head, and one leaves before its answer.
-func (tb *Testbed) runCrowd(ctx context.Context, n *Node, count int, lasts time.Duration) {
+// runConnectionFlood fills the connections of a node for a while. Of five clients three rest between requests, one
+// never completes a head, and one leaves before its answer.
+func (tb *Testbed) runConnectionFlood(ctx context.Context, n *Node, count int, lasts time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, lasts)
 	defer cancel()
 	began := tb.now()
@@ -102,7 +102,7 @@
 				tb.runRestingClient(ctx, n, name, 0)
 			}
 		}()
-		if !sleep(ctx, crowdSpacing) {
+		if !sleep(ctx, floodSpacing) {
 			return
 		}
 	}
@@ -114,9 +114,9 @@
 	c := tb.nodeClient(n, name)
 	defer c.close()
 	for number := 0; ctx.Err() == nil; number++ {
-		// A request ends by its own deadline, also after the crowd's end: the checker holds it to that.
+		// A request ends by its own deadline, also after the flood's end: the checker holds it to that.
 		c.send(context.WithoutCancel(ctx), number, leaveAfter)
-		if !sleep(ctx, crowdPause) {
+		if !sleep(ctx, floodPause) {
 			return
 		}
 	}
@@ -126,7 +126,7 @@
 func (tb *Testbed) runIncompleteClient(ctx context.Context, n *Node) {
 	for ctx.Err() == nil {
 		tb.sendIncompleteHead(ctx, n)
-		if !sleep(ctx, crowdPause) {
+		if !sleep(ctx, floodPause) {
 			return
 		}
 	}
--- a/internal/testbed/fault.go
+++ b/internal/testbed/fault.go
@@ -21,7 +21,7 @@
 	FaultReload                FaultKind = "reload"
 	FaultSignals               FaultKind = "signals"
 	FaultImproperClients       FaultKind = "peers"
-	FaultCrowd                 FaultKind = "crowd"
+	FaultConnectionFlood       FaultKind = "crowd"
 	FaultCrash                 FaultKind = "crash"
 	FaultSlow                  FaultKind = "slow"
 	FaultErrors                FaultKind = "errors"
@@ -122,7 +122,7 @@
 	FaultReload:          {nodes: true},
 	FaultSignals:         {nodes: true},
 	FaultImproperClients: {nodes: true},
-	FaultCrowd:           {nodes: true, lasts: true},
+	FaultConnectionFlood: {nodes: true, lasts: true},
 
 	FaultCrash:            {servers: true},
 	FaultSlow:             {servers: true, lasts: true},
@@ -333,7 +333,7 @@
 		return nil, err
 	}
 	// Pick is a count of something else for these.
-	countsOther := f.Kind == FaultImproperClients || f.Kind == FaultPause || f.Kind == FaultCrowd
+	countsOther := f.Kind == FaultImproperClients || f.Kind == FaultPause || f.Kind == FaultConnectionFlood
 	picksTargets := !countsOther
 	if picksTargets && f.Pick > 0 && f.Pick < len(targets) {
 		r.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
@@ -345,7 +345,7 @@
 // endsByStep reports whether a step of its own ends the fault.
 func (f *Fault) endsByStep() bool {
 	switch f.Kind {
-	case FaultDrain, FaultTerminate, FaultPause, FaultSignals, FaultCrowd:
+	case FaultDrain, FaultTerminate, FaultPause, FaultSignals, FaultConnectionFlood:
 		return false
 	}
 	return f.For > 0
--- a/internal/testbed/fault_handlers.go
+++ b/internal/testbed/fault_handlers.go
@@ -75,8 +75,8 @@
 		return node.Reload()
 	case FaultImproperClients:
 		tb.runImproperClients(ctx, node, s.Fault.Pick)
-	case FaultCrowd:
-		tb.runCrowd(ctx, node, s.Fault.Pick, s.Fault.For)
+	case FaultConnectionFlood:
+		tb.runConnectionFlood(ctx, node, s.Fault.Pick, s.Fault.For)
 	}
 	return nil
 }
--- a/internal/testbed/soak/extensions.go
+++ b/internal/testbed/soak/extensions.go
@@ -13,9 +13,9 @@
 	maxSignalGap      = 50 * time.Millisecond
 	restartAfter      = time.Second
 
-	crowdSize    = 300
-	crowdSockets = 256 // descriptors of a node: fewer than its crowd wants
-	crowdLasts   = 6 * time.Second
+	floodSize     = 300
+	floodSockets  = 256 // descriptors of a node: fewer than the flood wants
+	floodDuration = 6 * time.Second
 
 	overrideLasts = 4 * time.Second
 )
@@ -41,7 +41,8 @@
 	Zone string
 }
 
-// extend draws a series of signals for each run, and for some a crowd, short deadlines, or membership with overrides.
+// extend draws a series of signals for each run, and for some a connection flood, short deadlines, or membership with
+// overrides.
 func (p *Plan) extend(r *rand.Rand) {
 	for i := range p.Faults {
 		if p.Faults[i].Kind == testbed.FaultTerminate {
@@ -59,13 +60,13 @@
 		Gap:     randomDuration(r, 0, maxSignalGap),
 	})
 	if r.IntN(3) == 0 {
-		p.World.Limits.Sockets = crowdSockets
+		p.World.Limits.Sockets = floodSockets
 		p.Faults = append(p.Faults, testbed.Fault{
-			Kind:   testbed.FaultCrowd,
+			Kind:   testbed.FaultConnectionFlood,
 			At:     drawClusterTime(r),
 			Target: "n[3-4]",
-			Pick:   crowdSize,
-			For:    crowdLasts,
+			Pick:   floodSize,
+			For:    floodDuration,
 		})
 	}
 	if r.IntN(3) == 0 { // a node may be killed sooner then
--- a/internal/testbed/soak/plan_test.go
+++ b/internal/testbed/soak/plan_test.go
@@ -49,9 +49,9 @@
 
 // Each seed sends a series of signals, and the seeds have each of the other additions in their share. No series stops a
 // process for longer than the platform may.
-func TestPlansHaveSignalsCrowdsAndMembership(t *testing.T) {
+func TestPlansHaveSignalsFloodsAndMembership(t *testing.T) {
 	const seeds, maxStop = 600, 150 * time.Millisecond
-	crowds, memberships, short := 0, 0, 0
+	floods, memberships, short := 0, 0, 0
 	for seed := range uint64(seeds) {
 		p := NewPlan(seed)
 		series := 0
@@ -62,8 +62,8 @@
 				if stopped := stopTime(f); stopped > maxStop {
 					t.Errorf("seed %d: %v stop a process for %v", seed, f.Signals, stopped)
 				}
-			case testbed.FaultCrowd:
-				crowds++
+			case testbed.FaultConnectionFlood:
+				floods++
 			}
 		}
 		if series != 1 {
@@ -79,7 +79,7 @@
 			t.Errorf("seed %d: membership %v, %d overrides", seed, p.World.Fleet != nil, len(p.Overrides))
 		}
 	}
-	scaled := map[string]int{"a crowd": 3 * crowds, "short deadlines": 3 * short, "membership": 2 * memberships}
+	scaled := map[string]int{"a connection flood": 3 * floods, "short deadlines": 3 * short, "membership": 2 * memberships}
 	for what, count := range scaled {
 		if count < seeds*3/4 || count > seeds*5/4 {
 			t.Errorf("%s: not in the share of the seeds that is meant", what)
