Begin inquiries anew when an answer ends a disconnection

Callers saw: a node that could hear nobody for a while took up to all others but one for dead as it heard again; its replica count, quotas and evacuations rest on that.

Cause: a disconnected process confirms nobody dead, but the first answer ended that rule at once, while the inquiries of all others were as old as the disconnection and had all their probes. A tick between the first answer and the others confirmed them all.

Change: an answer that ends a disconnection begins all open inquiries anew.

--- a/internal/membership/probing_test.go
+++ b/internal/membership/probing_test.go
@@ -82,10 +82,12 @@
 	}
 }
 
-// passTick lets a bare mesh live through the time of a tick, in which one process answers and the others are probed.
-func (m *Mesh) passTick(answers string) {
+// passTick lets a bare mesh live through the time of a tick, in which some processes answer and the others are probed.
+func (m *Mesh) passTick(answering ...string) {
 	m.startedAt = m.startedAt.Add(-tickInterval)
-	m.recordAnswer(m.processes.byID[answers])
+	for _, id := range answering {
+		m.recordAnswer(m.processes.byID[id])
+	}
 	m.verify()
 	for _, id := range m.reachability.inquired() {
 		m.reachability.recordProbe(id)
@@ -115,6 +117,33 @@
 	}
 }
 
+// Guards against a fleet that its returning member takes for dead: the answer that ended a disconnection made all other
+// inquiries, which had been open without an answer throughout it, count as the silence of the others.
+func TestReturnFromADisconnectionConfirmsNobodyDead(t *testing.T) {
+	m := newBareMesh("a", "b", "c")
+	reported, unreported := m.processes.byID["a"], m.processes.byID["b"]
+	m.recordAnswer(reported)
+	m.recordAnswer(unreported)
+	for range disconnectedLimit / tickInterval / 2 {
+		m.passTick()
+		if m.reachability.silence(m.now()) > disconnectedAfter {
+			m.reportDead(reported)
+		}
+	}
+	for range suspectProbes {
+		m.passTick("c")
+		if reported.state == Dead || unreported.state == Dead {
+			t.Fatalf("once another has answered: %s and %s", reported.state, unreported.state)
+		}
+	}
+	for range 2 * silenceTimeout / tickInterval {
+		m.passTick("c")
+	}
+	if reported.state != Dead || unreported.state != Dead {
+		t.Errorf("after more silence of theirs: %s and %s", reported.state, unreported.state)
+	}
+}
+
 // A process that was known and answers nobody is dead without a report of the failure detector; one that has answered
 // another is not.
 func TestManyDeadAreFoundWithoutAReport(t *testing.T) {
--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -29,7 +29,8 @@
 //
 // A packet alone proves little: a process with a receive failure still sends, and suspects everybody. Only a round trip
 // counts. A process that has none with anybody, though there are others, takes itself for the one that is cut off: it
-// confirms nobody dead and leads nobody, until an answer comes or 20 s are over.
+// confirms nobody dead and leads nobody, until an answer comes or 20 s are over. The answer shows that it can hear again,
+// and nothing of the others: their inquiries begin anew.
 type reachability struct {
 	answeredAt   map[string]time.Duration // by process ID: its last answer to this process
 	indirectAt   map[string]time.Duration // its last answer to another process that reported so
@@ -69,6 +70,9 @@
 func (r *reachability) recordAnswer(id string, now time.Duration) (unreported bool) {
 	unreported = r.unreported[id]
 	delete(r.unreported, id)
+	if r.silence(now) > disconnectedAfter {
+		r.restartInquiries(now)
+	}
 	r.answeredAt[id] = now
 	r.lastAnswer = now
 	r.closeInquiry(id)
@@ -115,6 +119,13 @@
 	}
 }
 
+// restartInquiries begins all open inquiries anew: what was silent while this process could hear nobody proves nothing.
+func (r *reachability) restartInquiries(now time.Duration) {
+	for _, open := range r.inquiries {
+		*open = inquiry{since: now}
+	}
+}
+
 func (r *reachability) closeInquiry(id string) { delete(r.inquiries, id) }
 
 func (r *reachability) isInquired(id string) bool { return r.inquiries[id] != nil }
--- a/internal/testbed/mesh_test.go
+++ b/internal/testbed/mesh_test.go
@@ -142,15 +142,29 @@
 // either.
 func TestDeafLeaderIsReplaced(t *testing.T) {
 	t.Parallel()
+	checkNobodyIsRemoved(t, "deaf leader")
+}
+
+// Guards against a leader that, deaf for a while, takes those for dead that it hears a little later than the first.
+func TestDeafLeaderReturnsSlowly(t *testing.T) {
+	t.Parallel()
+	checkNobodyIsRemoved(t, "deaf leader, links back one by one")
+}
+
+// checkNobodyIsRemoved plays a scenario under which no member is removed.
+func checkNobodyIsRemoved(t *testing.T, scenario string) {
+	t.Helper()
 	for _, sc := range Scenarios {
-		if sc.Name != "deaf leader" {
+		if sc.Name != scenario {
 			continue
 		}
 		got, err := RunScenario(context.Background(), sc, binary, sc.Nodes, 1, 400*time.Millisecond)
 		if err != nil || got.Failure != "" || got.Counts["wrongly gone"] > 0 || got.Counts["two majorities"] > 0 {
 			t.Errorf("%v %s: %v", err, got.Failure, got.Counts)
 		}
+		return
 	}
+	t.Fatalf("there is no scenario %q", scenario)
 }
 
 // Beside a program that has one of its addresses a testbed takes another block.
--- a/internal/testbed/one_sided_scenarios.go
+++ b/internal/testbed/one_sided_scenarios.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// linkReturnInterval is longer than a node takes to act on what it has received.
+const linkReturnInterval = 150 * time.Millisecond
+
 // bursts loses everything for 300 ms in each 1.5 s, and a tenth in between, for 30 s.
 func (s *scenarioRun) bursts(ctx context.Context) error {
 	at := s.testbed.now()
@@ -66,6 +69,21 @@
 	return s.waitUntilHealed(ctx, from, to, at, names(rest)...)
 }
 
+// leaderReturnsSlowly makes the leader fail to receive for 10 s, and then lets it receive from one member after
+// another, more than a tick of theirs apart. No other member may be removed by any node.
+func (s *scenarioRun) leaderReturnsSlowly(ctx context.Context) error {
+	at, leader, rest := s.testbed.now(), s.nodes[0].name, s.nodes[1:]
+	s.testbed.SetLink("n*", leader, LinkCondition{Cut: true})
+	sleep(ctx, 10*time.Second)
+	for _, n := range rest {
+		s.testbed.SetLink(n.name, leader, LinkCondition{})
+		if !sleep(ctx, linkReturnInterval) {
+			return ctx.Err()
+		}
+	}
+	return s.waitUntilHealed(ctx, "n*", leader, at, names(rest)...)
+}
+
 // memberReceiveFailure lets the last node receive nothing for 15 s; its suspicions reach the others.
 func (s *scenarioRun) memberReceiveFailure(ctx context.Context) error {
 	at, last := s.testbed.now(), s.nodes[len(s.nodes)-1]
--- a/internal/testbed/scenarios.go
+++ b/internal/testbed/scenarios.go
@@ -53,6 +53,7 @@
 		Nodes: 8,
 		run:   func(s *scenarioRun, ctx context.Context) error { return s.leaderLinkFailure(ctx, false) },
 	},
+	{Name: "deaf leader, links back one by one", Nodes: 8, run: (*scenarioRun).leaderReturnsSlowly},
 	{Name: "deaf member", Nodes: 8, run: (*scenarioRun).memberReceiveFailure},
 	{Name: "ring of one-way cuts", Nodes: 8, run: (*scenarioRun).ring},
 	{Name: "half stopped 4 s", Nodes: 8, run: (*scenarioRun).halfStopped},
