Void findings at a node whose tracer is held up by the machine

Callers saw nothing: n2 runs under the tracing shim.

Cause: n2's clock is traced, so each reading of it costs two stops, and at each the tracer waits for a processor when the machine is full. The node stands still meanwhile.

Change: the shim writes what its thread waited for a processor each second (schedstat, so no word of the node's), and a finding at that node is void if it was over a quarter of the four seconds before, as one is while the test bed itself is late. The checks and their bounds stay; nodes under no shim are judged as before.

Comments of three files are wrapped.

--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -29,8 +29,8 @@
 //
 // A packet alone proves little: a process with a receive failure still sends, and suspects everybody. Only a round trip
 // counts. A process that has none with anybody, though there are others, takes itself for the one that is cut off: it
-// confirms nobody dead and leads nobody, until an answer comes or 20 s are over. The answer shows that it can hear again,
-// and nothing of the others: their inquiries begin anew.
+// confirms nobody dead and leads nobody, until an answer comes or 20 s are over. The answer shows that it can hear
+// again, and nothing of the others: their inquiries begin anew.
 type reachability struct {
 	answeredAt   map[string]time.Duration // by process ID: its last answer to this process
 	indirectAt   map[string]time.Duration // its last answer to another process that reported so
--- a/internal/node/clock_offset.go
+++ b/internal/node/clock_offset.go
@@ -18,8 +18,8 @@
 	ahead time.Duration
 }
 
-// observe takes the header of a response to a request that was sent at a clock time, and received at another. The offset
-// is the least that explains the Date in it; without one, the clocks count as equal.
+// observe takes the header of a response to a request that was sent at a clock time, and received at another. The
+// offset is the least that explains the Date in it; without one, the clocks count as equal.
 func (o *clockOffset) observe(header http.Header, sentAt, receivedAt time.Duration, log *slog.Logger) {
 	if o.known {
 		return
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -69,8 +69,8 @@
 	return max(n, 0)
 }
 
-// sinceLastBytes is how long ago the system received the last bytes on a connection, to a few milliseconds; 0 if that is
-// unknown.
+// sinceLastBytes is how long ago the system received the last bytes on a connection, to a few milliseconds; 0 if that
+// is unknown.
 func sinceLastBytes(c net.Conn) (ago time.Duration) {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
--- a/internal/testbed/lateness.go
+++ b/internal/testbed/lateness.go
@@ -65,13 +65,13 @@
 // Void reports that the testbed was too late from one time to another to hold anything against a node.
 func (tb *Testbed) Void(from, to time.Duration) bool { return tb.Lateness(from, to) > voidLateness }
 
-// Findings returns what broke a rule. Those in a time when the testbed itself was too late are marked void; the
-// counts are of the others.
+// Findings returns what broke a rule. Those in a time when the testbed itself was too late, or held up the node by its
+// tracer, are marked void; the counts are of the others.
 func (tb *Testbed) Findings() (found []Finding, counts map[Rule]int) {
 	found, _ = tb.checker.Findings()
 	counts = map[Rule]int{}
 	for i, f := range found {
-		if f.Rule != Crash && tb.Void(f.At-2*time.Second, f.At) {
+		if f.Rule != Crash && (tb.Void(f.At-2*time.Second, f.At) || tb.heldUpByTracer(f.Node, f.At)) {
 			found[i].Void = true
 			continue
 		}
--- a/internal/testbed/node.go
+++ b/internal/testbed/node.go
@@ -115,6 +115,7 @@
 func (n *Node) shimSpec(spec shim.Spec) string {
 	spec.Seed += uint64(n.starts)
 	spec.Log = filepath.Join(n.process.dir, "faults.log")
+	spec.LoadLog = n.tracerLog()
 	text, err := json.Marshal(spec)
 	if err != nil {
 		panic(err) // plain values
--- a/internal/testbed/shim/shim_test.go
+++ b/internal/testbed/shim/shim_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,9 @@
 		dials()
 	case "clock":
 		clock()
+	case "waits":
+		time.Sleep(3 * loadInterval)
+		os.Exit(0)
 	case "exits":
 		os.Exit(7)
 	}
@@ -123,6 +127,26 @@
 	}
 }
 
+// The tracer writes how long it waited for a processor, an interval after another.
+func TestLoadOfTheTracerIsWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "tracer.log")
+	began := time.Now()
+	if _, err := run(t, "waits", Spec{LoadLog: path}); err != nil {
+		t.Fatal(err)
+	}
+	loads, err := ReadLoads(path)
+	if err != nil || len(loads) == 0 {
+		t.Fatalf("%d loads, %v", len(loads), err)
+	}
+	last := began
+	for _, load := range loads {
+		if load.From.Before(last) || load.Until.Sub(load.From) < loadInterval || load.Waited < 0 {
+			t.Errorf("after %v: %+v", last, load)
+		}
+		last = load.Until
+	}
+}
+
 func TestExitCodeIsPassedOn(t *testing.T) {
 	_, err := run(t, "exits", Spec{})
 	var exit *exec.ExitError
--- a/internal/testbed/shim/spec.go
+++ b/internal/testbed/shim/spec.go
@@ -15,5 +15,6 @@
 	ClockAt   time.Duration `json:"clock_at"`   // the wall clock jumps then
 	ClockStep time.Duration `json:"clock_step"` // by this much; 0: never
 
-	Log string `json:"log"` // file that gets a line for each fault; empty: none
+	Log     string `json:"log"`      // file that gets a line for each fault; empty: none
+	LoadLog string `json:"load_log"` // file that gets the tracer's loads, see ReadLoads; empty: none
 }
--- a/internal/testbed/shim/trace.go
+++ b/internal/testbed/shim/trace.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -44,6 +45,7 @@
 	began   time.Time
 	random  *rand.Rand
 	log     io.Writer
+	load    loadMeter
 	threads map[int]*thread
 	sockets map[uint64]socketKind
 }
@@ -51,15 +53,16 @@
 // Run starts a program, applies the spec to it and returns its exit code. SIGTERM, SIGHUP and SIGINT are passed on.
 func Run(spec Spec, path string, args []string) (int, error) {
 	runtime.LockOSThread() // only the thread that started it may trace it; it ends with this process
-	log := io.Discard
-	if spec.Log != "" {
-		f, err := os.OpenFile(spec.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return 0, err
-		}
-		defer f.Close()
-		log = f
+	log, err := openLog(spec.Log)
+	if err != nil {
+		return 0, err
+	}
+	defer log.Close()
+	loadLog, err := openLog(spec.LoadLog)
+	if err != nil {
+		return 0, err
 	}
+	defer loadLog.Close()
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT)
 	c := exec.Command(path, args...)
@@ -74,6 +77,7 @@
 		began:   time.Now(),
 		random:  rand.New(rand.NewPCG(spec.Seed, 3)),
 		log:     log,
+		load:    loadMeter{to: json.NewEncoder(loadLog), since: time.Now(), waited: waitedForProcessor()},
 		threads: map[int]*thread{},
 		sockets: map[uint64]socketKind{},
 	}
@@ -85,6 +89,14 @@
 	return t.follow()
 }
 
+// openLog opens a file for lines to be added; without a path they go nowhere.
+func openLog(path string) (*os.File, error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	return os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
 // follow traces the program until it ends.
 func (t *tracer) follow() (int, error) {
 	var status syscall.WaitStatus
@@ -110,6 +122,7 @@
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
+		t.load.record(time.Now())
 		if err != nil {
 			return 0, fmt.Errorf("wait: %w", err)
 		}
