--- a/internal/node/clock_offset.go
+++ b/internal/node/clock_offset.go
@@ -30,9 +30,9 @@
 	}
 	o.known = true
 	responded := time.Duration(date.UnixNano())
-	least := sentAt - responded - dateResolution
-	most := receivedAt - responded
-	o.ahead = max(min(0, most), least)
+	lowerBound := sentAt - responded - dateResolution
+	upperBound := receivedAt - responded
+	o.ahead = max(min(0, upperBound), lowerBound)
 	if o.ahead != 0 {
 		log.Warn("the clock differs from discovery's", "ahead", o.ahead)
 	}
--- a/internal/node/clock_offset_test.go
+++ b/internal/node/clock_offset_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func TestClockOffsetIsTheLeastThatExplainsADate(t *testing.T) {
+func TestClockOffsetIsTheSmallestThatExplainsADate(t *testing.T) {
 	date := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
 	dated := http.Header{"Date": {date.Format(http.TimeFormat)}}
 	for name, tt := range map[string]struct {
