Review case 1: a late second answer is served to another client

Cause: a connection to a server carries the next request after 20 ms of rest, so a second answer that comes 25 ms after the first is taken for the answer to that request.

--- a/review/testdata/standin/client.go
+++ b/review/testdata/standin/client.go
@@ -14,6 +14,12 @@
 		"\r\nX-Caller: " + s.tenant + "\r\nX-Budget: " + budget + "\r\n" + framing + "\r\n\r\n"
 }
 
+// getHead returns a GET of the class that is safe to repeat.
+func getHead(s site, id, budget string) string {
+	return "GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + s.safe +
+		"\r\nX-Caller: " + s.tenant + "\r\nX-Budget: " + budget + "\r\n\r\n"
+}
+
 // sentBytes is what the client's kernel knows of the bytes that were written to a connection.
 type sentBytes struct {
 	unacknowledged int // not yet acknowledged by the other machine
--- a/review/testdata/standin/settings.go
+++ b/review/testdata/standin/settings.go
@@ -50,6 +50,7 @@
 	zone     string
 	kind     string // of the machines of the first tier
 	tenant   string
+	safe     string // a class that is safe to repeat
 	unsafe   string // the class that must never run twice
 }
 
@@ -60,6 +61,7 @@
 		zone:     "thorvaldson",
 		kind:     "front-small",
 		tenant:   "wheatland-winds",
+		safe:     "calendar-view",
 		unsafe:   "slot-booking",
 	}
 	kelowna = site{
@@ -68,6 +70,7 @@
 		zone:     "kelowna-dc",
 		kind:     "front-fast",
 		tenant:   "okanagan-ridge",
+		safe:     "block-view",
 		unsafe:   "bin-weighin",
 	}
 )
