--- a/review/testdata/standin/long_answer.go
+++ b/review/testdata/standin/long_answer.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	if err := r.startNode(saskatoon, server); err != nil {
+	if err := r.startNode(saskatoon, manyDescriptors, server); err != nil {
 		return verdict{}, err
 	}
 	c, err := net.Dial("tcp", r.node.listen)
--- a/review/testdata/standin/platform.go
+++ b/review/testdata/standin/platform.go
@@ -20,6 +20,10 @@
 const (
 	heartbeat    = 2 * time.Second // of a watch, while nothing changes
 	readyTimeout = 30 * time.Second
+
+	// Descriptors that a node may hold.
+	manyDescriptors = 1024
+	fewDescriptors  = 256
 )
 
 // host is an entry of the endpoint list, in discovery's form.
@@ -100,8 +104,9 @@
 	exited  chan struct{} // closed when the process has ended
 }
 
-// startNode starts discovery with a list of servers, and a node, and waits until the node is ready.
-func (r *run) startNode(s site, servers ...string) error {
+// startNode starts discovery with a list of servers, and a node that may hold so many descriptors, and waits until the
+// node is ready.
+func (r *run) startNode(s site, descriptors int, servers ...string) error {
 	d, err := startDiscovery(s, servers)
 	if err != nil {
 		return err
@@ -117,7 +122,7 @@
 	if p.listen, err = freeAddress(); err != nil {
 		return err
 	}
-	if err := p.start(r.root, command, s, d); err != nil {
+	if err := p.start(r.root, command, s, descriptors, d); err != nil {
 		return err
 	}
 	r.node = p
@@ -153,15 +158,15 @@
 }
 
 // start writes the configuration and starts the process.
-func (p *platform) start(root, command string, s site, d *discovery) error {
+func (p *platform) start(root, command string, s site, descriptors int, d *discovery) error {
 	known, err := json.Marshal(d.list)
 	if err != nil {
 		return err
 	}
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
  "known":%s,
- "settings":%s}`, p.listen, d.address, known, s.settings)
+ "settings":%s}`, p.listen, d.address, descriptors, known, s.settings)
 	path := filepath.Join(p.folder, "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return err
--- a/review/testdata/standin/slow_upload.go
+++ b/review/testdata/standin/slow_upload.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	if err := r.startNode(kelowna, server); err != nil {
+	if err := r.startNode(kelowna, manyDescriptors, server); err != nil {
 		return verdict{}, err
 	}
 	c, err := net.Dial("tcp", r.node.listen)
