--- a/review/testdata/standin/late_second.go
+++ b/review/testdata/standin/late_second.go
@@ -20,7 +20,7 @@
 	unsafeEvery  = 3                      // each third client sends requests that must never run twice
 	lateRequests = 4                      // of each client
 	lateWork     = 300 * time.Millisecond // of each request
-	mostPause    = 50 * time.Millisecond  // of a client between an answer and its next request; drawn evenly from 0
+	mostPause    = 30 * time.Millisecond  // of a client between an answer and its next request; drawn evenly from 0
 	doubledEvery = 3                      // each third answer of a server comes twice
 	lateness     = 25 * time.Millisecond  // of the second answer after the first
 	lateBudget   = "6000m"
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,8 @@
 	trouble bool   // the disruption takes place
 	record  *recorder
 	node    *platform // nil until startNode
+
+	started atomic.Pointer[platform] // as node, for the end of an interrupted run
 }
 
 // cases holds each case by its name. The files of the cases fill it.
@@ -73,7 +76,10 @@
 			return
 		}
 		r.record.printf("NOT RUN: interrupted, or not over after %v", timeLimit)
-		os.Exit(exitNotRun) // the node ends with this process
+		if node := r.started.Load(); node != nil {
+			node.stop()
+		}
+		os.Exit(exitNotRun)
 	}()
 	defer close(ended)
 	outcome, err := play(r)
--- a/review/testdata/standin/platform.go
+++ b/review/testdata/standin/platform.go
@@ -123,9 +123,11 @@
 		return err
 	}
 	if err := p.start(r.root, command, s, descriptors, d); err != nil {
+		_ = os.RemoveAll(p.folder)
 		return err
 	}
 	r.node = p
+	r.started.Store(p)
 	if err := p.awaitReady(); err != nil {
 		return err
 	}
