Count and log responses that the node cuts off after they have begun

Cause: when a response is given up after a part of it has arrived, the log says "request turned away, status 502" and nothing else.

Change: responses_cut_off counts such responses by reason (attempt_timeout, server_silent, client_slow, too_long) in GET /control/decisions; the log line "response cut off" names request, attempt and server and how many bytes of the body had arrived. An incomplete body is a typed error.

--- a/internal/metrics/decisions.go
+++ b/internal/metrics/decisions.go
@@ -53,6 +53,25 @@
 	CloseShutdown: "leaving",
 }
 
+// CutOffCause is the reason for which the node stopped to receive or forward a response that had begun.
+type CutOffCause int
+
+// Causes of cutting off a response.
+const (
+	CutOffTimeout      CutOffCause = iota // the attempt timed out before the whole body had arrived
+	CutOffServerSilent                    // the server stopped sending the body
+	CutOffClientSlow                      // the client stopped reading the body
+	CutOffTooLong                         // the body exceeds the maximum length
+	numberOfCutOffCauses
+)
+
+var cutOffCauseNames = [numberOfCutOffCauses]string{
+	CutOffTimeout:      "attempt_timeout",
+	CutOffServerSilent: "server_silent",
+	CutOffClientSlow:   "client_slow",
+	CutOffTooLong:      "too_long",
+}
+
 // Attempt identifies an attempt in the log.
 type Attempt struct {
 	RequestID string
@@ -72,6 +91,7 @@
 	readinessRefused    verdictCounters // negative answers to /ready
 	violations          verdictCounters // each is a fault of this node
 	closedConnections   [numberOfCloseCauses]atomic.Int64
+	responsesCutOff     [numberOfCutOffCauses]atomic.Int64
 	failedAccepts       atomic.Int64
 	unexpectedResponses atomic.Int64 // responses without a request
 	suppressedLines     atomic.Int64 // log lines beyond the rate limits
@@ -145,6 +165,15 @@
 	d.logLimited(d.decisionLimit, slog.LevelWarn, "unexpected response", "server", endpoint)
 }
 
+// ResponseCutOff counts and logs a response that the node stopped to receive or forward after it had begun. received is
+// the number of bytes of the body that had arrived.
+func (d *Decisions) ResponseCutOff(attempt Attempt, why CutOffCause, received int64) {
+	d.responsesCutOff[why].Add(1)
+	d.logLimited(d.decisionLimit, slog.LevelWarn, "response cut off",
+		"id", attempt.RequestID, "attempt", attempt.Number, "server", attempt.Endpoint,
+		"reason", cutOffCauseNames[why], "received", received)
+}
+
 // ConnectionClosed counts a client connection that the node closed while no request was in progress on it.
 func (d *Decisions) ConnectionClosed(cause CloseCause) { d.closedConnections[cause].Add(1) }
 
@@ -155,6 +184,7 @@
 	ReadinessRefused    map[string]int64 `json:"not_ready"`
 	Violations          map[string]int64 `json:"violations"`
 	ClosedConnections   map[string]int64 `json:"connections_closed"`
+	ResponsesCutOff     map[string]int64 `json:"responses_cut_off"`
 	FailedAccepts       int64            `json:"failed_accepts"`
 	UnexpectedResponses int64            `json:"unexpected_responses"`
 	SuppressedLines     int64            `json:"log_lines_left_out"`
@@ -162,20 +192,26 @@
 
 // Page returns the decisions so far.
 func (d *Decisions) Page() DecisionsPage {
-	page := DecisionsPage{
+	return DecisionsPage{
 		AttemptsNotSent:     d.attemptsNotSent.nonZero(),
 		RequestsRejected:    d.requestsRejected.nonZero(),
 		ReadinessRefused:    d.readinessRefused.nonZero(),
 		Violations:          d.violations.nonZero(),
-		ClosedConnections:   map[string]int64{},
+		ClosedConnections:   nonZeroByName(d.closedConnections[:], closeCauseNames[:]),
+		ResponsesCutOff:     nonZeroByName(d.responsesCutOff[:], cutOffCauseNames[:]),
 		FailedAccepts:       d.failedAccepts.Load(),
 		UnexpectedResponses: d.unexpectedResponses.Load(),
 		SuppressedLines:     d.suppressedLines.Load(),
 	}
-	for cause, name := range closeCauseNames {
-		if n := d.closedConnections[cause].Load(); n > 0 {
-			page.ClosedConnections[name] = n
+}
+
+// nonZeroByName returns the counters above zero, by the name at the same index.
+func nonZeroByName(counters []atomic.Int64, names []string) map[string]int64 {
+	counts := map[string]int64{}
+	for i, name := range names {
+		if n := counters[i].Load(); n > 0 {
+			counts[name] = n
 		}
 	}
-	return page
+	return counts
 }
--- a/internal/metrics/decisions_test.go
+++ b/internal/metrics/decisions_test.go
@@ -20,9 +20,10 @@
 		d.AcceptFailed(errors.New("none"))
 	}
 	d.Violation(guard.RequestRead, "id", "crossed")
+	d.ResponseCutOff(Attempt{RequestID: "2"}, CutOffServerSilent, 100)
 	page := d.Page()
 	if page.RequestsRejected["no_room"] != 3*logLineBurst || page.FailedAccepts != 3*logLineBurst ||
-		page.Violations["request_read"] != 1 || page.SuppressedLines == 0 {
+		page.Violations["request_read"] != 1 || page.ResponsesCutOff["server_silent"] != 1 || page.SuppressedLines == 0 {
 		t.Errorf("decisions: got %+v, want all counted by reason, and suppressed lines", page)
 	}
 	if !strings.Contains(log.String(), `msg=violation reason=request_read id=crossed`) {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"keelusher/internal/inbound"
 	"keelusher/internal/metrics"
 	"keelusher/policy"
 	"keelusher/policy/guard"
@@ -76,7 +77,7 @@
 		return writeFailed(att, err)
 	}
 	if received.err != nil {
-		return responseFailed(att, received.err) // readResponses has closed the connection
+		return p.responseFailed(att, received.err) // readResponses has closed the connection
 	}
 	outcome := p.deliver(att, received)
 	if received.early || received.httpResponse.Close || received.streamFailed() {
@@ -104,8 +105,11 @@
 }
 
 // responseFailed returns the outcome of an attempt whose request was written and got no complete response.
-func responseFailed(att *attempt, err error) attemptOutcome {
+func (p *pool) responseFailed(att *attempt, err error) attemptOutcome {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if partial, ok := errors.AsType[*partialResponseError](err); ok {
+			p.decisions.ResponseCutOff(att.logIdentity(), metrics.CutOffTimeout, partial.received)
+		}
 		return attemptOutcome{attempt: att, result: policy.TimedOut}
 	}
 	return attemptOutcome{attempt: att, result: policy.ConnectionLost, err: err}
@@ -140,6 +144,7 @@
 	outcome.streamed = true
 	outcome.err = stream.err
 	if stream.err != nil {
+		p.recordCutOff(att, stream)
 		outcome.response.status = http.StatusBadGateway
 		outcome.result = policy.ConnectionLost
 		if stream.abandoned {
@@ -149,6 +154,23 @@
 	return outcome
 }
 
+// recordCutOff counts a streamed response that the node stopped to forward. It ignores one that its server broke off,
+// and one whose client has disconnected.
+func (p *pool) recordCutOff(att *attempt, stream *responseStream) {
+	var cause metrics.CutOffCause
+	switch {
+	case errors.Is(stream.err, inbound.ErrBodyTooLong):
+		cause = metrics.CutOffTooLong
+	case !errors.Is(stream.err, os.ErrDeadlineExceeded):
+		return
+	case stream.abandoned:
+		cause = metrics.CutOffClientSlow
+	default:
+		cause = metrics.CutOffServerSilent
+	}
+	p.decisions.ResponseCutOff(att.logIdentity(), cause, stream.bytesRead)
+}
+
 // roundTrip writes the request of an attempt and waits for the reply. It returns an error if the last byte of the
 // request was not written; a failure to get a response is in reply.err.
 func (p *pool) roundTrip(c *serverConn, att *attempt) (reply, error) {
--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -76,6 +76,19 @@
 	early bool // the request was not written completely: the connection cannot be reused
 }
 
+// partialResponseError reports that the body of a response was not received completely.
+type partialResponseError struct {
+	endpoint string
+	received int64 // number of bytes of the body that had arrived
+	err      error
+}
+
+func (e *partialResponseError) Error() string {
+	return fmt.Sprintf("body of the response of endpoint %s: %v", e.endpoint, e.err)
+}
+
+func (e *partialResponseError) Unwrap() error { return e.err }
+
 // discard releases the resources of a reply that no attempt uses.
 func (r reply) discard() { response{bodyMemory: r.bodyMemory, bodyStream: r.bodyStream}.discard() }
 
@@ -266,7 +279,7 @@
 	memory.shrinkTo(len(body))
 	if err != nil {
 		memory.release()
-		return reply{err: fmt.Errorf("body of the response of endpoint %s: %w", c.endpoint.id, err)}
+		return reply{err: &partialResponseError{endpoint: c.endpoint.id, received: int64(len(body)), err: err}}
 	}
 	if len(body) < maxBufferedBody || httpResponse.ContentLength == maxBufferedBody {
 		stream.closeIfBytesFollow()
