Forward a response of unknown length as it arrives once it comes slowly

Cause: readResponse read the first 64 KiB of a body of unknown length under the deadline that pool.acquire sets on the connection for the whole attempt. That deadline is meant for the wait for a response; here it limited how long a server may take to give 64 KiB.

Change: bodyReader reads such a body in its own goroutine, since net/http cannot continue a read that a deadline has ended. A body that ends within 1 s of its first bytes is buffered as before and can be retried if it breaks; otherwise what has arrived is forwarded, at the end of the attempt's time at the latest. Why it works: the attempt's deadline now ends with the first bytes, and no byte is held for over 1 s.

testAttempt gives its request the deadline of its attempt: it had none, which no request has.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -177,6 +177,7 @@
 	if att.request.bodyStream != nil {
 		return p.roundTripStreamed(c, att)
 	}
+	p.setClientDeadline(c, p.clock.at(att.request.deadline))
 	if _, err := c.Write(p.encodeRequest(att)); err != nil {
 		p.close(c)
 		(<-c.replies).discard() // an early response, or the error due to the close
@@ -189,10 +190,12 @@
 // roundTripStreamed is roundTrip for a request whose body is still arriving.
 func (p *pool) roundTripStreamed(c *serverConn, att *attempt) (reply, error) {
 	p.setDeadline(c, time.Time{}) // the timeout of the response starts with the last byte of the request
+	p.setClientDeadline(c, time.Time{})
 	err := p.writeStreamed(c, att)
 	if err == nil {
 		now := p.clock.now()
 		p.recordWritten(att, now+att.request.budget)
+		p.setClientDeadline(c, p.clock.at(now+att.request.budget))
 		p.setDeadline(c, p.clock.at(now+min(att.timeout, att.request.budget)))
 		p.requestsWritten <- requestWritten{attempt: att, writtenAt: now}
 		return <-c.replies, nil
--- /dev/null
+++ b/internal/node/body_reader.go
@@ -0,0 +1,177 @@
+// Bodies of responses of unknown length: chunked ones, and ones that end with their connection.
+
+package node
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+// maxHoldTime is how long the first bytes of a body are held back in the hope that the body ends soon. The client has
+// to get the bytes of a long response less than 2 s after they have arrived.
+const maxHoldTime = time.Second
+
+// A server is taken to be still sending for pauseTolerance times its longest pause within the body, and for minPause at
+// least.
+const (
+	pauseTolerance = 2
+	minPause       = 200 * time.Millisecond
+)
+
+// bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine. What
+// has arrived can thus be forwarded while the reader waits for the next bytes. A read of an http.Response.Body that is
+// ended by a deadline cannot be continued.
+type bodyReader struct {
+	conn *serverConn
+	body io.Reader
+
+	begun   chan struct{} // closed when the first bytes have arrived, or the body has ended
+	settled chan struct{} // closed when the body has ended, or is longer than the buffer
+
+	// Used by run only.
+	bytesRead    int
+	longestPause time.Duration // longest wait for bytes after the first ones
+
+	mu      sync.Mutex
+	changed *sync.Cond // signaled when one of the following fields changes
+	buffer  []byte     // what has arrived and has not been taken by Read
+	limit   int        // maximum length of buffer
+	err     error      // why nothing follows after buffer; io.EOF: the body is complete
+	stopped bool       // no further bytes are wanted
+}
+
+func newBodyReader(c *serverConn, body io.Reader, limit int) *bodyReader {
+	r := &bodyReader{
+		conn:    c,
+		body:    body,
+		begun:   make(chan struct{}),
+		settled: make(chan struct{}),
+		limit:   limit,
+	}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// run reads the body until it ends, its connection fails or stop is called.
+func (r *bodyReader) run() {
+	piece := make([]byte, min(serverReadBuffer, r.limit))
+	for {
+		began := time.Now()
+		if r.bytesRead > 0 { // the deadline of the attempt limits only the wait for the first bytes
+			// The error is ignored: the call fails only on a closed connection, where the read fails too.
+			_ = r.conn.SetReadDeadline(r.nextDeadline(began))
+		}
+		n, err := r.body.Read(piece)
+		if r.bytesRead > 0 {
+			r.longestPause = max(r.longestPause, time.Since(began))
+		}
+		r.bytesRead += n
+		if more := r.add(piece[:n], err); !more {
+			return
+		}
+	}
+}
+
+// nextDeadline returns the time until which the reader waits for the next bytes. A server that stops sending within a
+// body that may be a short one must not keep the client waiting: it has until the client's deadline, or longer if its
+// pauses show that it is still sending.
+func (r *bodyReader) nextDeadline(now time.Time) time.Time {
+	silent := now.Add(r.conn.pool.streamTimeout)
+	clientDeadline := r.conn.pool.clientDeadlineOf(r.conn)
+	if r.bytesRead > maxBufferedBody || clientDeadline.IsZero() {
+		return silent
+	}
+	stalled := now.Add(max(pauseTolerance*r.longestPause, minPause))
+	if stalled.Before(clientDeadline) {
+		stalled = clientDeadline
+	}
+	if stalled.Before(silent) {
+		return stalled
+	}
+	return silent
+}
+
+// add appends bytes to the buffer, and waits while there is no room for them. It reports whether more are to be read.
+func (r *bodyReader) add(piece []byte, err error) (more bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(piece) > 0 || err != nil {
+		closeOnce(r.begun)
+	}
+	for len(r.buffer) > 0 && len(r.buffer)+len(piece) > r.limit && !r.stopped {
+		closeOnce(r.settled)
+		r.changed.Wait()
+	}
+	r.buffer = append(r.buffer, piece...)
+	r.err = err
+	if err != nil {
+		closeOnce(r.settled)
+	}
+	r.changed.Broadcast()
+	return err == nil && !r.stopped
+}
+
+// closeOnce closes a channel that one goroutine closes, if it is open.
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+// collect waits for the end of the body, and reports whether it has ended. It gives up when the body is longer than the
+// buffer, when its first bytes have been held back for maxHoldTime, or when the time of the attempt is over: a server
+// that has begun to send may still be sending.
+func (r *bodyReader) collect(attemptDeadline time.Time) (ended bool) {
+	<-r.begun
+	hold := maxHoldTime
+	if !attemptDeadline.IsZero() {
+		hold = min(hold, time.Until(attemptDeadline))
+	}
+	expired := time.NewTimer(hold)
+	defer expired.Stop()
+	select {
+	case <-r.settled:
+	case <-expired.C:
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err != nil
+}
+
+// collected returns the body after collect has reported its end. The error is nil if the body is complete.
+func (r *bodyReader) collected() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(r.err, io.EOF) {
+		return r.buffer, nil
+	}
+	return r.buffer, r.err
+}
+
+// Read implements io.Reader. It waits until bytes have arrived or the body has ended.
+func (r *bodyReader) Read(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.buffer) == 0 && r.err == nil {
+		r.changed.Wait()
+	}
+	if len(r.buffer) == 0 {
+		return 0, r.err
+	}
+	n := copy(b, r.buffer)
+	r.buffer = r.buffer[:copy(r.buffer, r.buffer[n:])]
+	r.changed.Broadcast()
+	return n, nil
+}
+
+// stop makes run end without waiting for room in the buffer.
+func (r *bodyReader) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	r.changed.Broadcast()
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -156,6 +156,29 @@
 	c.setDeadline(deadline)
 }
 
+// deadlineOf returns the deadline of a connection in use; the zero time means that there is none.
+func (p *pool) deadlineOf(c *serverConn) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.deadline
+}
+
+// setClientDeadline records when the client of the request on a connection stops waiting; the zero time means that this
+// is not known yet.
+func (p *pool) setClientDeadline(c *serverConn, deadline time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.clientDeadline = deadline
+}
+
+// clientDeadlineOf returns when the client of the request on a connection stops waiting; the zero time means that this
+// is not known yet.
+func (p *pool) clientDeadlineOf(c *serverConn) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.clientDeadline
+}
+
 // setDeadline sets the deadline of reads and writes; the zero time means none. The error is ignored: it occurs only on
 // a closed connection, where reads and writes fail too. The caller holds pool.mu.
 func (c *serverConn) setDeadline(deadline time.Time) {
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -25,11 +25,13 @@
 	return p
 }
 
-// testAttempt returns an attempt at an address. Its deadline is wait after the call.
+// testAttempt returns an attempt at an address. Its deadline, and that of its client, is wait after the call.
 func testAttempt(p *pool, addr string, wait time.Duration) *attempt {
+	deadline := p.clock.now() + wait
 	c := &clientRequest{method: http.MethodPost, url: &url.URL{Path: "/api"}, host: "service.internal",
-		header: http.Header{"X-Call-Id": {"1"}, "Idempotency-Key": {"k"}}, body: []byte("payload"), contentLength: 7}
-	return &attempt{request: c, endpoint: &endpoint{id: "s", addr: addr}, deadline: p.clock.now() + wait}
+		header: http.Header{"X-Call-Id": {"1"}, "Idempotency-Key": {"k"}}, body: []byte("payload"), contentLength: 7,
+		deadline: deadline}
+	return &attempt{request: c, endpoint: &endpoint{id: "s", addr: addr}, deadline: deadline}
 }
 
 // Each kind of response, and each kind of failure to get a response, leads to the attempt result in the table. The
--- a/internal/node/response_stream.go
+++ b/internal/node/response_stream.go
@@ -19,6 +19,7 @@
 type responseStream struct {
 	conn      *serverConn
 	response  *http.Response
+	reader    *bodyReader // of a body of unknown length; nil: the body is read from the response directly
 	bytesRead int64
 	done      chan struct{} // closed by finish
 	once      sync.Once
@@ -26,21 +27,32 @@
 	abandoned bool  // set before done is closed: the client or the node is the cause of err, not the endpoint
 }
 
-// Read implements io.Reader. Each read times out after pool.streamTimeout.
+// Read implements io.Reader.
 func (s *responseStream) Read(b []byte) (int, error) {
-	// The error is ignored: the call fails only on a closed connection, where the read fails too.
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.conn.pool.streamTimeout))
-	n, err := s.response.Body.Read(b)
+	n, err := s.readBody(b)
 	if s.bytesRead += int64(n); s.bytesRead > maxStreamedBody && err == nil {
 		err = inbound.ErrBodyTooLong
 	}
 	return n, err
 }
 
+// readBody reads the next bytes of the body. Each read of a body of known length times out after pool.streamTimeout.
+func (s *responseStream) readBody(b []byte) (int, error) {
+	if s.reader != nil {
+		return s.reader.Read(b)
+	}
+	// The error is ignored: the call fails only on a closed connection, where the read fails too.
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.conn.pool.streamTimeout))
+	return s.response.Body.Read(b)
+}
+
 // finish records how the forwarding ended. Further calls have no effect.
 func (s *responseStream) finish(err error, abandoned bool) {
 	s.once.Do(func() {
 		s.err, s.abandoned = err, abandoned
+		if s.reader != nil {
+			s.reader.stop()
+		}
 		if err == nil {
 			s.closeIfBytesFollow()
 			s.conn.endRequest()
--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -41,6 +41,10 @@
 	idleElement *list.Element // in pool.idle; nil if the connection is not idle
 	idleSince   time.Time
 	deadline    time.Time // of the current wait; zero if there is none
+
+	// clientDeadline is when the client of the current request stops waiting. It is zero while the request is written
+	// and its time has not begun.
+	clientDeadline time.Time
 }
 
 // newServerConn wraps a new connection. It is in use from the start, by the attempt that it was made for.
@@ -260,7 +264,7 @@
 }
 
 // readResponse reads a response. It buffers the whole body if that is short enough and memory is available; otherwise
-// it leaves the remainder of the body to be streamed.
+// it leaves the body, or its remainder, to be streamed.
 func (c *serverConn) readResponse() reply {
 	httpResponse, err := c.readFinalHead()
 	if err != nil {
@@ -268,25 +272,50 @@
 	}
 	c.limitedInput.N = math.MaxInt64
 	stream := &responseStream{conn: c, response: httpResponse, done: make(chan struct{})}
-	// An unknown length (-1) becomes the largest unsigned number, so that the maximum is reserved.
-	size := int(min(uint64(httpResponse.ContentLength), maxBufferedBody))
+	if httpResponse.ContentLength < 0 {
+		return c.readUnknownLength(stream)
+	}
+	size := int(min(httpResponse.ContentLength, maxBufferedBody))
 	memory := c.pool.buffers.responses.reserve(size)
 	if httpResponse.ContentLength > maxBufferedBody || memory == nil {
 		memory.release()
 		return reply{httpResponse: httpResponse, bodyStream: stream}
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxBufferedBody))
+	body, err := io.ReadAll(httpResponse.Body)
+	return c.bufferedReply(stream, body, memory, err)
+}
+
+// readUnknownLength reads the body of a response without a Content-Length. It buffers the body if that ends soon, and
+// leaves it to be streamed if it is long, if it comes slowly or if no memory is available.
+func (c *serverConn) readUnknownLength(stream *responseStream) reply {
+	memory := c.pool.buffers.responses.reserve(maxBufferedBody)
+	bufferSize := maxBufferedBody
+	if memory == nil {
+		bufferSize = c.pool.buffers.chunkSize
+	}
+	stream.reader = newBodyReader(c, stream.response.Body, bufferSize)
+	c.pool.running.Add(1)
+	go func() { // ends with the body, or with the connection
+		defer c.pool.running.Done()
+		stream.reader.run()
+	}()
+	if memory == nil || !stream.reader.collect(c.pool.deadlineOf(c)) {
+		return reply{httpResponse: stream.response, bodyMemory: memory, bodyStream: stream}
+	}
+	body, err := stream.reader.collected()
+	return c.bufferedReply(stream, body, memory, err)
+}
+
+// bufferedReply returns the reply for a response whose body has been read to its end, or to an error.
+func (c *serverConn) bufferedReply(stream *responseStream, body []byte, memory *memoryReservation, err error) reply {
 	memory.shrinkTo(len(body))
 	if err != nil {
 		memory.release()
 		return reply{err: &partialResponseError{endpoint: c.endpoint.id, received: int64(len(body)), err: err}}
 	}
-	if len(body) < maxBufferedBody || httpResponse.ContentLength == maxBufferedBody {
-		stream.closeIfBytesFollow()
-		c.endRequest()
-		return reply{httpResponse: httpResponse, body: body, bodyMemory: memory}
-	}
-	return reply{httpResponse: httpResponse, body: body, bodyMemory: memory, bodyStream: stream}
+	stream.closeIfBytesFollow()
+	c.endRequest()
+	return reply{httpResponse: stream.response, body: body, bodyMemory: memory}
 }
 
 // readFinalHead reads the head of the final response and skips interim (1xx) responses before it.
--- /dev/null
+++ b/internal/node/slow_response_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// slowResponse is how a server gives a response without a Content-Length.
+type slowResponse struct {
+	chunked bool // otherwise the body ends with the connection
+	body    string
+	pieces  int           // the body is given in so many
+	pause   time.Duration // after each piece
+}
+
+// give writes the response, and reports whether its connection may be used again.
+func (s slowResponse) give(c net.Conn) bool {
+	head, pieceFormat, end := "HTTP/1.1 200 OK\r\n\r\n", "%[2]s", ""
+	if s.chunked {
+		head, pieceFormat, end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "%x\r\n%s\r\n", "0\r\n\r\n"
+	}
+	_, _ = io.WriteString(c, head)
+	size := len(s.body) / s.pieces
+	for i := range s.pieces {
+		if _, err := fmt.Fprintf(c, pieceFormat, size, s.body[i*size:(i+1)*size]); err != nil {
+			return false
+		}
+		time.Sleep(s.pause)
+	}
+	_, err := io.WriteString(c, end)
+	return err == nil && s.chunked
+}
+
+// startWithObjective starts a node whose classes have a latency objective, before a single server.
+func startWithObjective(t *testing.T, objective time.Duration, b *backend) *runningNode {
+	t.Helper()
+	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].LatencyObjective = objective
+	}
+	return start(t, cfg)
+}
+
+// Guards against a long response of unknown length that is cut off, though its server is still sending: the time of an
+// attempt limited the first 64 KiB of such a body instead of its first bytes.
+func TestSlowResponseOfUnknownLength(t *testing.T) {
+	t.Parallel()
+	const (
+		pieces    = 10
+		pause     = 250 * time.Millisecond
+		objective = time.Second // of the class, and so the time of an attempt
+	)
+	for _, chunked := range []bool{true, false} {
+		for budget, when := range map[string]string{
+			"10000m": "after the attempt's time, within the client's",
+			"1000m":  "after the client's time, with its first bytes in time",
+		} {
+			t.Run(fmt.Sprint("chunked=", chunked, "/", budget), func(t *testing.T) {
+				t.Parallel()
+				body := randomBody(pieces * 10 << 10)
+				b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+					return slowResponse{chunked, body, pieces, pause}.give(c)
+				})
+				n := startWithObjective(t, objective, b)
+				r := newRequest(t, n.url, "unsafe", "1", "x")
+				r.Header.Set("X-Budget", budget)
+				status, _, got := do(t, r)
+				if status != http.StatusOK || got != body {
+					t.Errorf("a response that ends %s: got status %d and %d bytes, want 200 and all %d",
+						when, status, len(got), len(body))
+				}
+				if cut := n.loop.decisions.Page().ResponsesCutOff; len(cut) > 0 {
+					t.Errorf("responses cut off: %v, want none", cut)
+				}
+			})
+		}
+	}
+}
+
+// Guards against bytes of a response of unknown length that are held back for 2 s or more while the server pauses.
+func TestSlowResponseIsNotHeldBack(t *testing.T) {
+	t.Parallel()
+	const limit = 2 * time.Second
+	release := make(chan struct{})
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+		<-release
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	})
+	n := startWith(t, b)
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "1", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, len("first"))
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != "first" {
+		t.Fatalf("first bytes of the response: %q, %v, want \"first\"", first, err)
+	}
+	if took := time.Since(began); took >= limit {
+		t.Errorf("the first bytes came after %v, want under %v", took, limit)
+	}
+	close(release)
+	if rest, err := io.ReadAll(resp.Body); len(rest) != 0 || err != nil {
+		t.Errorf("remainder of the response: %q, %v, want nothing and no error", rest, err)
+	}
+}
+
+// Guards against a server that stops within a response of unknown length and so keeps the client waiting: a response
+// that may be a short one ends 0.5 s after the client's time at the latest, in a way that shows that it is not whole.
+func TestStalledResponseOfUnknownLength(t *testing.T) {
+	t.Parallel()
+	const slack = 500 * time.Millisecond
+	for _, chunked := range []bool{true, false} {
+		for _, budget := range []time.Duration{600 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprint("chunked=", chunked, "/", budget), func(t *testing.T) {
+				t.Parallel()
+				b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+					stalled := slowResponse{chunked, strings.Repeat("x", 10<<10), 1, 10 * time.Second}
+					return stalled.give(c)
+				})
+				n := startWith(t, b)
+				r := newRequest(t, n.url, "unsafe", "1", "x")
+				r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
+				began := time.Now()
+				resp, err := http.DefaultClient.Do(r)
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+					resp.Body.Close()
+				}
+				if err == nil && resp.StatusCode == http.StatusOK {
+					t.Error("the client took the response for whole, want an error status or a broken response")
+				}
+				if took := time.Since(began); took > budget+slack {
+					t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
+				}
+			})
+		}
+	}
+}
