Forward what has arrived of a chunk while its server pauses

What callers saw: a long chunked response stands still, and breaks off, while its server is still sending.

Cause: a read of a chunked body in net/http waits until the caller's buffer is full or the chunk has ended, and holds back what it has copied; the node asked for 2 to 32 KiB. One read deadline covered all that such a read waited for, so a server that gave a little every second was cut off after the time that is meant for silence.

Change: bodyReader asks for no more than what has arrived before the end of a line, which belongs to one chunk; so a read waits only while it has nothing. Each wait for the socket has a deadline of its own (bodyInput). Why it works: whatever the framing, no byte that the node has read waits for the next one.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -3,8 +3,10 @@
 package node
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -20,12 +22,16 @@
 	minPause       = 200 * time.Millisecond
 )
 
+// minArrived is a number of buffered bytes that always include bytes of the body: the framing between two chunks is shorter.
+const minArrived = 64
+
 // bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine. What
 // has arrived can thus be forwarded while the reader waits for the next bytes. A read of an http.Response.Body that is
 // ended by a deadline cannot be continued.
 type bodyReader struct {
-	conn *serverConn
-	body io.Reader
+	conn    *serverConn
+	body    io.Reader
+	chunked bool
 
 	begun   chan struct{} // closed when the first bytes have arrived, or the body has ended
 	settled chan struct{} // closed when the body has ended, or is longer than the buffer
@@ -42,10 +48,11 @@
 	stopped bool       // no further bytes are wanted
 }
 
-func newBodyReader(c *serverConn, body io.Reader, limit int) *bodyReader {
+func newBodyReader(c *serverConn, response *http.Response, limit int) *bodyReader {
 	r := &bodyReader{
 		conn:    c,
-		body:    body,
+		body:    response.Body,
+		chunked: len(response.TransferEncoding) > 0,
 		begun:   make(chan struct{}),
 		settled: make(chan struct{}),
 		limit:   limit,
@@ -56,24 +63,72 @@
 
 // run reads the body until it ends, its connection fails or stop is called.
 func (r *bodyReader) run() {
+	r.conn.limitedInput.R = bodyInput{r}
 	piece := make([]byte, min(serverReadBuffer, r.limit))
 	for {
-		began := time.Now()
-		if r.bytesRead > 0 { // the deadline of the attempt limits only the wait for the first bytes
-			// The error is ignored: the call fails only on a closed connection, where the read fails too.
-			_ = r.conn.SetReadDeadline(r.nextDeadline(began))
-		}
-		n, err := r.body.Read(piece)
-		if r.bytesRead > 0 {
-			r.longestPause = max(r.longestPause, time.Since(began))
-		}
+		n, err := r.readPiece(piece)
 		r.bytesRead += n
+		if err != nil {
+			r.conn.limitedInput.R = r.conn
+		}
 		if more := r.add(piece[:n], err); !more {
 			return
 		}
 	}
 }
 
+// readPiece reads what has arrived, as far as it fits into piece. It waits only while it has no bytes.
+func (r *bodyReader) readPiece(piece []byte) (int, error) {
+	n, err := r.body.Read(piece[:r.readSize(len(piece))])
+	if err != nil {
+		return n, err
+	}
+	more, err := r.readArrived(piece[n:])
+	return n + more, err
+}
+
+// readArrived reads without waiting, until piece is full or few bytes are left.
+func (r *bodyReader) readArrived(piece []byte) (n int, err error) {
+	for err == nil && n < len(piece) && r.conn.reader.Buffered() >= minArrived {
+		var more int
+		more, err = r.body.Read(piece[n : n+r.readSize(len(piece)-n)])
+		n += more
+	}
+	return n, err
+}
+
+// readSize returns how many bytes to ask for in the next read, limit at most. A read of a chunked body waits until it has
+// filled its buffer or reached the end of a chunk, and holds back what it has until then. What has arrived before the end
+// of a line is part of one chunk, except for a carriage return, so a read that asks for no more does not wait for more.
+func (r *bodyReader) readSize(limit int) int {
+	if !r.chunked {
+		return limit
+	}
+	arrived, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // no error: so many bytes are buffered
+	size := len(arrived)
+	if lineEnd := bytes.IndexByte(arrived, '\n'); lineEnd >= 0 {
+		size = lineEnd - 1
+	}
+	return min(limit, max(1, size))
+}
+
+// bodyInput is the connection of a bodyReader as the response parser reads it. The deadline of the attempt limits only the
+// wait for the first bytes of the body; after them each wait has its own deadline.
+type bodyInput struct{ *bodyReader }
+
+// Read implements io.Reader.
+func (i bodyInput) Read(b []byte) (int, error) {
+	if i.bytesRead == 0 {
+		return i.conn.Read(b)
+	}
+	began := time.Now()
+	// The error is ignored: the call fails only on a closed connection, where the read fails too.
+	_ = i.conn.SetReadDeadline(i.nextDeadline(began))
+	n, err := i.conn.Read(b)
+	i.longestPause = max(i.longestPause, time.Since(began))
+	return n, err
+}
+
 // nextDeadline returns the time until which the reader waits for the next bytes. A server that stops sending within a
 // body that may be a short one must not keep the client waiting: it has until the client's deadline, or longer if its
 // pauses show that it is still sending.
--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -293,7 +293,7 @@
 	if memory == nil {
 		bufferSize = c.pool.buffers.chunkSize
 	}
-	stream.reader = newBodyReader(c, stream.response.Body, bufferSize)
+	stream.reader = newBodyReader(c, stream.response, bufferSize)
 	c.pool.running.Add(1)
 	go func() { // ends with the body, or with the connection
 		defer c.pool.running.Done()
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -146,3 +147,63 @@
 		}
 	}
 }
+
+// Guards against bytes within a chunk that are held back, or cut off with the rest, while the server pauses: a read of a
+// chunked body waits until it has filled its buffer or reached the end of the chunk.
+func TestSlowChunkIsNotHeldBack(t *testing.T) {
+	t.Parallel()
+	const (
+		limit  = 2 * time.Second
+		pieces = 3
+	)
+	piece := strings.Repeat("line\r\n", 20) // line ends in the body are not the ends of chunks
+	for name, before := range map[string]struct {
+		chunks string
+		length int
+	}{
+		"short response": {},
+		"long response":  {fmt.Sprintf("%x\r\n%s\r\n", longBody, randomBody(longBody)), longBody},
+		"small chunks":   {strings.Repeat("1;ext=1\r\nx\r\n", 2*maxBufferedBody), 2 * maxBufferedBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan struct{}, pieces)
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+before.chunks)
+				_, _ = fmt.Fprintf(c, "%x\r\n", pieces*len(piece))
+				for range pieces {
+					_, _ = io.WriteString(c, piece)
+					<-received
+				}
+				_, err := io.WriteString(c, "\r\n0\r\n\r\n")
+				return err == nil
+			})
+			n := startWithObjective(t, limit, b)
+			defer close(received) // releases the server if the test fails
+			c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			write(t, c, requestText("unsafe", "1", "x"))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			setReadTimeout(t, c, 10*time.Second)
+			if _, err := io.ReadFull(resp.Body, make([]byte, before.length)); err != nil {
+				t.Fatalf("the chunks before the slow one: %v", err)
+			}
+			for i := range pieces {
+				setReadTimeout(t, c, limit)
+				if _, err := io.ReadFull(resp.Body, make([]byte, len(piece))); err != nil {
+					t.Fatalf("piece %d of the slow chunk: %v, want all of it within %v", i, err, limit)
+				}
+				received <- struct{}{}
+			}
+			if rest, err := io.ReadAll(resp.Body); len(rest) != 0 || err != nil {
+				t.Errorf("remainder of the response: %q, %v, want nothing and no error", rest, err)
+			}
+		})
+	}
+}
