End a stalled short response in time where no memory was left to buffer it

What callers saw: no final answer in time.

Change: a streamed response with a Content-Length up to 64 KiB ends 0.2 s after the client's deadline at the latest, broken off so that the client can tell. Why it works: every read of its body has that deadline; longer responses are not touched.

Measured: the test passes; the tests of slow, stalled, streamed and unchanged bodies under -race ok.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -142,10 +142,7 @@
 	if stalled.Before(clientDeadline) {
 		stalled = clientDeadline
 	}
-	if stalled.Before(silent) {
-		return stalled
-	}
-	return silent
+	return earlier(silent, stalled)
 }
 
 // add appends bytes to the buffer, and waits while there is no room for them. It reports whether more are to be read.
--- a/internal/node/response_stream.go
+++ b/internal/node/response_stream.go
@@ -13,7 +13,13 @@
 	"keelusher/internal/inbound"
 )
 
-const maxStreamedBody = inbound.MaxBody // maximum length in bytes of a request's or a response's body
+const (
+	maxStreamedBody = inbound.MaxBody // maximum length in bytes of a request's or a response's body
+
+	// shortResponseSlack is how long after the client's deadline a streamed short response may still end. A client counts
+	// a request as lost if it has no final response 0.5 s after the deadline.
+	shortResponseSlack = 200 * time.Millisecond
+)
 
 // responseStream is the part of a response's body that is forwarded while it arrives. Its reader must call finish.
 type responseStream struct {
@@ -36,16 +42,35 @@
 	return n, err
 }
 
-// readBody reads the next bytes of the body. Each read of a body of known length times out after pool.streamTimeout.
+// readBody reads the next bytes of the body.
 func (s *responseStream) readBody(b []byte) (int, error) {
 	if s.reader != nil {
 		return s.reader.Read(b)
 	}
 	// The error is ignored: the call fails only on a closed connection, where the read fails too.
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.conn.pool.streamTimeout))
+	_ = s.conn.SetReadDeadline(s.nextDeadline(time.Now()))
 	return s.response.Body.Read(b)
 }
 
+// nextDeadline returns the time until which the stream waits for the next bytes of a body of known length. The end of a
+// short one is due at the client's deadline.
+func (s *responseStream) nextDeadline(now time.Time) time.Time {
+	silent := now.Add(s.conn.pool.streamTimeout)
+	clientDeadline := s.conn.pool.clientDeadlineOf(s.conn)
+	if s.response.ContentLength > maxBufferedBody || clientDeadline.IsZero() {
+		return silent
+	}
+	return earlier(silent, clientDeadline.Add(shortResponseSlack))
+}
+
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // finish records how the forwarding ended. Further calls have no effect.
 func (s *responseStream) finish(err error, abandoned bool) {
 	s.once.Do(func() {
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -207,3 +207,35 @@
 		})
 	}
 }
+
+// Guards against a short response that keeps its client waiting because no memory was left to buffer it: it is streamed,
+// and its server stops within it. The last byte of a short response is due at the client's deadline.
+func TestStalledShortResponseWithoutMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		budget = time.Second
+		slack  = 500 * time.Millisecond
+	)
+	b := newBackend(t, func(_ int, c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf")
+		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
+		return false
+	})
+	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	n := start(t, cfg, func(n *Node) { n.buffers.responses.available.Store(0) })
+	r := newRequest(t, n.url, "unsafe", "1", "x")
+	r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Error("the client took the response for whole, want an error status or a broken response")
+	}
+	if took := time.Since(began); took > budget+slack {
+		t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
+	}
+}
