Allow pauses of 5 s within a streamed response whatever the idle time is

What callers saw: a long response that breaks off while its server is still sending, at a deployment whose servers close idle connections early.

Cause: the limit for a pause within a streamed response was conn-idle-ms of the settings, which says how long a server keeps a connection without a request.

Change: the limit is the idle time, 5 s at least.

Measured: the test passes, the tests of stalled responses too.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -15,7 +15,13 @@
 	"keelusher/internal/metrics"
 )
 
-const maxResponseHead = 16 << 10 // in bytes, including the interim responses before it
+const (
+	maxResponseHead = 16 << 10 // in bytes, including the interim responses before it
+
+	// minStreamTimeout is how long a server may pause within a streamed response, also where idle connections are closed
+	// sooner.
+	minStreamTimeout = 5 * time.Second
+)
 
 var (
 	errPoolClosed      = errors.New("the node is shutting down")
@@ -70,7 +76,7 @@
 		clock:            l.clock,
 		dialer:           net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
 		idleTimeout:      cfg.connectionIdleTimeout / 2,
-		streamTimeout:    cfg.connectionIdleTimeout,
+		streamTimeout:    max(cfg.connectionIdleTimeout, minStreamTimeout),
 		results:          l.attemptResults,
 		requestsWritten:  l.requestsWritten,
 		responsesStarted: l.responsesStarted,
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -239,3 +239,33 @@
 		t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
 	}
 }
+
+// Guards against a long response that is cut off at a deployment whose servers close idle connections early: the idle
+// time of connections limited the pauses of a server within a response.
+func TestLongResponseOutlastsIdleTimeout(t *testing.T) {
+	t.Parallel()
+	const (
+		idleTimeout = 300 * time.Millisecond
+		pause       = time.Second
+	)
+	body := randomBody(longBody)
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:longBody/2])
+		time.Sleep(pause)
+		_, err := io.WriteString(c, body[longBody/2:])
+		return err == nil
+	})
+	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	cfg.connectionIdleTimeout = idleTimeout
+	n := start(t, cfg)
+	resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "1", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil || string(got) != body {
+		t.Errorf("a response with a pause of %v: got %d bytes, error %v, want all %d", pause, len(got), err, len(body))
+	}
+}
