--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -318,40 +317,3 @@
 	}
 	return outgoing
 }
-
-// attemptResult returns the result of an attempt that got this response.
-func attemptResult(r *http.Response) policy.AttemptResult {
-	switch {
-	case r.StatusCode == http.StatusOK:
-		return policy.Success
-	case (r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusGatewayTimeout) &&
-		r.Header.Get("X-Rejected") == "1":
-		return policy.Overloaded
-	}
-	return policy.ServerError // the server may have run the request
-}
-
-// parseLoadReport returns the load report in a response's X-Load-Report header, or nil if there is none or it is
-// invalid. A field missing from the report is -1. The JSON keys are the names that servers and the settings use for the
-// fields.
-func parseLoadReport(h http.Header) *policy.Load {
-	text := h.Get("X-Load-Report")
-	if text == "" {
-		return nil
-	}
-	var report struct {
-		Busy    *float64 `json:"busy_reqs"`
-		Service *float64 `json:"svc_ms"`
-	}
-	if json.Unmarshal([]byte(text), &report) != nil {
-		return nil
-	}
-	load := &policy.Load{BusyRequests: -1, ServiceTime: -1}
-	if report.Busy != nil {
-		load.BusyRequests = *report.Busy
-	}
-	if report.Service != nil {
-		load.ServiceTime = millis(*report.Service)
-	}
-	return load
-}
