--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -15,8 +15,8 @@
 // to get the bytes of a long response less than 2 s after they have arrived.
 const maxHoldTime = time.Second
 
-// forwardMargin is how long before the end of the attempt's time the first bytes are forwarded at the latest, so that they
-// reach the client in time.
+// forwardMargin is how long before the end of the attempt's time the first bytes are forwarded at the latest, so that
+// they reach the client in time.
 const forwardMargin = 150 * time.Millisecond
 
 // A server is taken to be still sending for pauseTolerance times its longest pause within the body, and for minPause at
@@ -26,7 +26,8 @@
 	minPause       = 200 * time.Millisecond
 )
 
-// minArrived is a number of buffered bytes that always include bytes of the body: the framing between two chunks is shorter.
+// minArrived is a number of buffered bytes that always include bytes of the body: the framing between two chunks is
+// shorter.
 const minArrived = 64
 
 // bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine. What
@@ -101,9 +102,10 @@
 	return n, err
 }
 
-// readSize returns how many bytes to ask for in the next read, limit at most. A read of a chunked body waits until it has
-// filled its buffer or reached the end of a chunk, and holds back what it has until then. What has arrived before the end
-// of a line is part of one chunk, except for a carriage return, so a read that asks for no more does not wait for more.
+// readSize returns how many bytes to ask for in the next read, limit at most. A read of a chunked body waits until it
+// has filled its buffer or reached the end of a chunk, and holds back what it has until then. What has arrived before
+// the end of a line is part of one chunk, except for a carriage return, so a read that asks for no more does not wait
+// for more.
 func (r *bodyReader) readSize(limit int) int {
 	if !r.chunked {
 		return limit
@@ -116,8 +118,8 @@
 	return min(limit, max(1, size))
 }
 
-// bodyInput is the connection of a bodyReader as the response parser reads it. The deadline of the attempt limits only the
-// wait for the first bytes of the body; after them each wait has its own deadline.
+// bodyInput is the connection of a bodyReader as the response parser reads it. The deadline of the attempt limits only
+// the wait for the first bytes of the body; after them each wait has its own deadline.
 type bodyInput struct{ *bodyReader }
 
 // Read implements io.Reader.
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// Guards against bytes of a response of unknown length that are held back while the server pauses, for 2 s or more or until
-// the client's time is over: the first bytes of a long response are timed.
+// Guards against bytes of a response of unknown length that are held back while the server pauses, for 2 s or more or
+// until the client's time is over: the first bytes of a long response are timed.
 func TestSlowResponseIsNotHeldBack(t *testing.T) {
 	t.Parallel()
 	for budget, limit := range map[string]time.Duration{"30000m": 2 * time.Second, "900m": 900 * time.Millisecond} {
@@ -155,8 +155,8 @@
 	}
 }
 
-// Guards against bytes within a chunk that are held back, or cut off with the rest, while the server pauses: a read of a
-// chunked body waits until it has filled its buffer or reached the end of the chunk.
+// Guards against bytes within a chunk that are held back, or cut off with the rest, while the server pauses: a read of
+// a chunked body waits until it has filled its buffer or reached the end of the chunk.
 func TestSlowChunkIsNotHeldBack(t *testing.T) {
 	t.Parallel()
 	const (
@@ -215,15 +215,15 @@
 	}
 }
 
-// Guards against a short response that keeps its client waiting because no memory was left to buffer it: it is streamed,
-// and its server stops within it. The last byte of a short response is due at the client's deadline.
+// Guards against a short response that keeps its client waiting because no memory was left to buffer it: it is
+// streamed, and its server stops within it. The last byte of a short response is due at the client's deadline.
 func TestStalledShortResponseWithoutMemory(t *testing.T) {
 	t.Parallel()
 	const (
 		budget = time.Second
 		slack  = 500 * time.Millisecond
 	)
-	b := newBackend(t, func(_ int, c net.Conn, r *http.Request) bool {
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf")
 		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
 		return false
