--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -210,14 +210,17 @@
 	return r.buffer, r.err
 }
 
-// Read implements io.Reader. It waits until bytes have arrived or the body has ended.
+// Read implements io.Reader. It waits until bytes have arrived, the body has ended or stop is called.
 func (r *bodyReader) Read(b []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for len(r.buffer) == 0 && r.err == nil {
+	for len(r.buffer) == 0 && r.err == nil && !r.stopped {
 		r.changed.Wait()
 	}
-	if len(r.buffer) == 0 {
+	switch {
+	case r.stopped:
+		return 0, errResponseUnwanted
+	case len(r.buffer) == 0:
 		return 0, r.err
 	}
 	n := copy(b, r.buffer)
@@ -226,7 +229,7 @@
 	return n, nil
 }
 
-// stop makes run end without waiting for room in the buffer.
+// stop makes run end without waiting for room in the buffer, and Read fail.
 func (r *bodyReader) stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
