Hold back a slow response for a share of the time left, not up to a fixed margin

What callers saw: with under 0.15 s left to the attempt, a response of unknown length was forwarded with its first bytes, so one that broke some milliseconds later reached the client broken, where it got an error status or a retry before.

Cause: the first bytes were forwarded 0.15 s before the end of the attempt's time at the latest, which is at once when less is left.

TestBrokenResponseWithLittleTimeLeft on the commit before: "unexpected EOF".

Change: they are held for three quarters of the time left at most. Why it works: a response that breaks soon is still buffered however little time is left, and the rest of the time is for the way to the client.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -15,9 +15,9 @@
 // to get the bytes of a long response less than 2 s after they have arrived.
 const maxHoldTime = time.Second
 
-// forwardMargin is how long before the end of the attempt's time the first bytes are forwarded at the latest, so that
-// they reach the client in time.
-const forwardMargin = 150 * time.Millisecond
+// holdShare is the share of the time left to the attempt for which the first bytes are held back at most, so that they
+// reach the client in time.
+const holdShare = 0.75
 
 // A server is taken to be still sending for pauseTolerance times its longest pause within the body, and for minPause at
 // least.
@@ -181,13 +181,13 @@
 }
 
 // collect waits for the end of the body, and reports whether it has ended. It gives up when the body is longer than the
-// buffer, when its first bytes have been held back for maxHoldTime, or when the time of the attempt is nearly over: a
-// server that has begun to send may still be sending.
+// buffer, or when its first bytes have been held back for long enough: a server that has begun to send may still be
+// sending.
 func (r *bodyReader) collect(attemptDeadline time.Time) (ended bool) {
 	<-r.begun
 	hold := maxHoldTime
 	if !attemptDeadline.IsZero() {
-		hold = min(hold, time.Until(attemptDeadline)-forwardMargin)
+		hold = min(hold, time.Duration(holdShare*float64(time.Until(attemptDeadline))))
 	}
 	expired := time.NewTimer(hold)
 	defer expired.Stop()
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -276,3 +276,24 @@
 		t.Errorf("a response with a pause of %v: got %d bytes, error %v, want all %d", pause, len(got), err, len(body))
 	}
 }
+
+// Guards against a broken response of unknown length that is forwarded, because little of the client's time was left: one
+// that breaks soon after its first bytes gets an error status.
+func TestBrokenResponseWithLittleTimeLeft(t *testing.T) {
+	t.Parallel()
+	const (
+		budget  = 150 * time.Millisecond
+		breakAt = 20 * time.Millisecond
+	)
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		time.Sleep(breakAt)
+		reset(c)
+		return false
+	})
+	r := newRequest(t, startWith(t, b).url, "unsafe", "1", "x")
+	r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
+	if status, _, got := do(t, r); status != http.StatusBadGateway {
+		t.Errorf("got status %d and %q, want 502", status, got)
+	}
+}
