--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -277,8 +277,8 @@
 	}
 }
 
-// Guards against a broken response of unknown length that is forwarded, because little of the client's time was left: one
-// that breaks soon after its first bytes gets an error status.
+// Guards against a broken response of unknown length that is forwarded because little time was left: one that breaks
+// soon after its first bytes gets an error status.
 func TestBrokenResponseWithLittleTimeLeft(t *testing.T) {
 	t.Parallel()
 	const (
