End the reader of a connection that is closed while a response is streamed

What callers saw: nothing that is known; a data race at the end of a process.

Cause: passToAttempt waits until a streamed response has been forwarded or its connection is closed. In the second case readResponses went on with the next read, while whoever forwards the response was still reading the connection and its buffer.

Change: passToAttempt returns false when the connection is closed first, and readResponses ends. Why it works: from then on one goroutine alone reads the connection.

--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -211,9 +211,10 @@
 	return wakeupReply
 }
 
-// passToAttempt passes a reply to the attempt and waits until a streamed response has been forwarded. If the previous
-// reply has not been taken, for example because the attempt could not write its request, no attempt waits for this one:
-// passToAttempt closes the connection and returns false.
+// passToAttempt passes a reply to the attempt and waits until a streamed response has been forwarded. It returns false
+// if the connection has been closed meanwhile. If the previous reply has not been taken, for example because the
+// attempt could not write its request, no attempt waits for this one: passToAttempt closes the connection and returns
+// false.
 func (c *serverConn) passToAttempt(received reply) bool {
 	select {
 	case c.replies <- received:
@@ -225,7 +226,8 @@
 	if received.bodyStream != nil {
 		select {
 		case <-received.bodyStream.done:
-		case <-c.done:
+		case <-c.done: // the connection is still being read, by whoever forwards the response
+			return false
 		}
 	}
 	return true
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"keelusher/policy"
 )
 
 // slowResponse is how a server gives a response without a Content-Length.
@@ -297,3 +299,37 @@
 		t.Errorf("got status %d and %q, want 502", status, got)
 	}
 }
+
+// Guards against a data race at the end of a node: the reader of a connection went on reading it after the connection
+// was closed, while a response from it was still being forwarded.
+func TestConnectionClosedWhileResponseIsStreamed(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{
+		"unknown length": "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+		"known length":   "Content-Length: 1000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+randomBody(2*maxBufferedBody))
+				_, _ = io.Copy(io.Discard, c) // until the node closes the connection
+				return false
+			})
+			p := testPool(t)
+			started := make(chan responseStarted)
+			p.responsesStarted = started
+			results := make(chan attemptOutcome)
+			p.results = results
+			p.start(testAttempt(p, b.addr(), time.Minute))
+			stream := (<-started).response.bodyStream
+			time.AfterFunc(50*time.Millisecond, func() { p.close(stream.conn) })
+			if _, err := io.Copy(io.Discard, stream); err == nil {
+				t.Error("the stream ended without an error, though its connection was closed")
+			}
+			stream.finish(errResponseUnwanted, true)
+			if got := (<-results).result; got != policy.Canceled {
+				t.Errorf("result %v, want Canceled", got)
+			}
+		})
+	}
+}
