Reword comments of the body reader

Cause: some comments used turns of phrase that newcomers stop at, and one left open why a goroutine of its own reads the body.

Change: comments only.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -30,9 +30,9 @@
 // shorter.
 const minArrived = 64
 
-// bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine. What
-// has arrived can thus be forwarded while the reader waits for the next bytes. A read of an http.Response.Body that is
-// ended by a deadline cannot be continued.
+// bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine, so
+// that the bytes that have arrived can be forwarded while the reader waits for the next ones. A read with a deadline
+// would not do: after a timeout, net/http cannot continue to read a chunked body.
 type bodyReader struct {
 	conn    *serverConn
 	body    io.Reader
@@ -47,7 +47,7 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond // signaled when one of the following fields changes
-	buffer  []byte     // what has arrived and has not been taken by Read
+	buffer  []byte     // bytes that have arrived and that Read has not returned yet
 	limit   int        // maximum length of buffer
 	err     error      // why nothing follows after buffer; io.EOF: the body is complete
 	stopped bool       // no further bytes are wanted
@@ -103,14 +103,14 @@
 }
 
 // readSize returns how many bytes to ask for in the next read, limit at most. A read of a chunked body waits until it
-// has filled its buffer or reached the end of a chunk, and holds back what it has until then. What has arrived before
-// the end of a line is part of one chunk, except for a carriage return, so a read that asks for no more does not wait
-// for more.
+// has filled its buffer or reached the end of a chunk, and holds back the bytes that it has copied until then. The
+// bytes that have arrived before the end of a line belong to one chunk, except for a carriage return, so a read that
+// asks for no more does not wait for further ones.
 func (r *bodyReader) readSize(limit int) int {
 	if !r.chunked {
 		return limit
 	}
-	arrived, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // no error: so many bytes are buffered
+	arrived, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // cannot fail: these bytes are buffered
 	size := len(arrived)
 	if lineEnd := bytes.IndexByte(arrived, '\n'); lineEnd >= 0 {
 		size = lineEnd - 1
@@ -151,7 +151,8 @@
 	return earlier(silent, stalled)
 }
 
-// add appends bytes to the buffer, and waits while there is no room for them. It reports whether more are to be read.
+// add appends bytes to the buffer, and waits while the buffer has no room for them. It reports whether more are to be
+// read.
 func (r *bodyReader) add(piece []byte, err error) (more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/server_conn.go
+++ b/internal/node/server_conn.go
@@ -40,8 +40,8 @@
 	idleSince   time.Time
 	deadline    time.Time // of the current wait; zero if there is none
 
-	// clientDeadline is when the client of the current request stops waiting. It is zero while the request is written
-	// and its time has not begun.
+	// clientDeadline is the time at which the client of the current request stops waiting. It is zero while a streamed
+	// request is written, because the budget of such a request starts with its last byte.
 	clientDeadline time.Time
 }
 
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -17,7 +17,7 @@
 type slowResponse struct {
 	chunked bool // otherwise the body ends with the connection
 	body    string
-	pieces  int           // the body is given in so many
+	pieces  int           // number of writes in which the body is given
 	pause   time.Duration // after each piece
 }
 
