--- a/internal/node/response_stream.go
+++ b/internal/node/response_stream.go
@@ -1,7 +1,8 @@
-// Streamed bodies. A body of up to maxBufferedBody bytes is buffered completely: a request can then be sent again, and
-// a response is known to be complete before a byte of it is forwarded. A longer body is streamed through a buffer of
-// fixed size for each connection and direction, so that a slow receiver exerts back pressure on the sender and occupies
-// no further memory.
+// Streamed bodies. A body of up to maxBufferedBody bytes is buffered completely: a request can then be sent again,
+// and a response is known to be complete before a byte of it is forwarded. A response of unknown length that comes
+// slowly is the exception: its client gets it while it arrives. A longer body is streamed through a buffer of fixed
+// size for each connection and direction, so that a slow receiver exerts back pressure on the sender and occupies no
+// further memory.
 
 package node
 
