Forward bytes beside a chunk's framing while the server pauses

Cause: three reads waited while they held bytes. The first one asked for as many bytes as the header line has; those that fill a piece took 64 buffered bytes for a sign of body bytes; the body of an http.Response reads the trailer before it returns what it has copied.

Evidence: TestBytesBesideChunkFramingAreNotHeldBack on the commit before, all three forms: "status 502, first bytes "\x00\x00", error EOF, want 200 and "fi"", after 2.66 s.

Change: a read that may meet framing asks for one byte; what has been read goes to the buffer before each wait for the socket; chunkedBody returns the last bytes and reads the trailer after them. Why it works: at each wait the reader holds no byte that it knows of, whatever the framing.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -26,8 +26,8 @@
 	minPause       = 200 * time.Millisecond
 )
 
-// minArrived is a number of buffered bytes that always include bytes of the body: the framing between two chunks is
-// shorter.
+// minArrived is a number of buffered bytes that include bytes of the body: the framing between two chunks is shorter,
+// unless its server adds long extensions.
 const minArrived = 64
 
 // bodyReader reads the body of a response of unknown length into a buffer of limited size, in its own goroutine, so
@@ -42,7 +42,8 @@
 	settled chan struct{} // closed when the body has ended, or is longer than the buffer
 
 	// Used by run only.
-	bytesRead    int
+	piece        []byte        // bytes read from the body and not added to the buffer yet
+	bytesRead    int           // length of the body so far, without piece
 	longestPause time.Duration // longest wait for bytes after the first ones
 
 	mu      sync.Mutex
@@ -57,11 +58,14 @@
 	r := &bodyReader{
 		conn:    c,
 		body:    response.Body,
-		chunked: len(response.TransferEncoding) > 0,
 		begun:   make(chan struct{}),
 		settled: make(chan struct{}),
 		limit:   limit,
 	}
+	if len(response.TransferEncoding) > 0 {
+		r.chunked = true
+		r.body = newChunkedBody(c)
+	}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -69,53 +73,54 @@
 // run reads the body until it ends, its connection fails or stop is called.
 func (r *bodyReader) run() {
 	r.conn.limitedInput.R = bodyInput{r}
-	piece := make([]byte, min(serverReadBuffer, r.limit))
+	r.piece = make([]byte, 0, min(serverReadBuffer, r.limit))
 	for {
-		n, err := r.readPiece(piece)
-		r.bytesRead += n
+		err := r.fillPiece()
 		if err != nil {
 			r.conn.limitedInput.R = r.conn
 		}
-		if more := r.add(piece[:n], err); !more {
+		if more := r.addPiece(err); !more {
 			return
 		}
 	}
 }
 
-// readPiece reads what has arrived, as far as it fits into piece. It waits only while it has no bytes.
-func (r *bodyReader) readPiece(piece []byte) (int, error) {
-	n, err := r.body.Read(piece[:r.readSize(len(piece))])
-	if err != nil {
-		return n, err
-	}
-	more, err := r.readArrived(piece[n:])
-	return n + more, err
-}
-
-// readArrived reads without waiting, until piece is full or few bytes are left.
-func (r *bodyReader) readArrived(piece []byte) (n int, err error) {
-	for err == nil && n < len(piece) && r.conn.reader.Buffered() >= minArrived {
-		var more int
-		more, err = r.body.Read(piece[n : n+r.readSize(len(piece)-n)])
-		n += more
+// fillPiece reads until the piece is full. A read that waits for the server adds the piece to the buffer first.
+func (r *bodyReader) fillPiece() (err error) {
+	for err == nil && len(r.piece) < cap(r.piece) {
+		free := r.piece[len(r.piece):cap(r.piece)]
+		var n int
+		n, err = r.body.Read(free[:r.readSize(len(free))])
+		r.piece = append(r.piece, free[:n]...) // moves the bytes if the piece has been emptied meanwhile
 	}
-	return n, err
+	return err
 }
 
 // readSize returns how many bytes to ask for in the next read, limit at most. A read of a chunked body waits until it
-// has filled its buffer or reached the end of a chunk, and holds back the bytes that it has copied until then. The
-// bytes that have arrived before the end of a line belong to one chunk, except for a carriage return, so a read that
-// asks for no more does not wait for further ones.
+// has filled its buffer or reached the end of a chunk, and holds back the bytes that it has copied until then. So it is
+// asked for bytes that have certainly arrived, or for a single one.
 func (r *bodyReader) readSize(limit int) int {
 	if !r.chunked {
 		return limit
 	}
-	arrived, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // cannot fail: these bytes are buffered
-	size := len(arrived)
-	if lineEnd := bytes.IndexByte(arrived, '\n'); lineEnd >= 0 {
-		size = lineEnd - 1
-	}
-	return min(limit, max(1, size))
+	return min(limit, max(1, r.arrived()))
+}
+
+// arrived returns a number of bytes that have arrived and belong to one chunk, or less than 1 if it cannot tell. These
+// are the bytes before the end of a line, except for a carriage return. Few bytes without the end of a line, and those
+// before the first byte of the body, may be framing.
+func (r *bodyReader) arrived() int {
+	buffered, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // cannot fail: these bytes are buffered
+	lineEnd := bytes.IndexByte(buffered, '\n')
+	switch {
+	case r.bytesRead+len(r.piece) == 0:
+		return 0
+	case lineEnd >= 0:
+		return lineEnd - 1
+	case len(buffered) < minArrived:
+		return 0
+	}
+	return len(buffered)
 }
 
 // bodyInput is the connection of a bodyReader as the response parser reads it. The deadline of the attempt limits only
@@ -124,6 +129,9 @@
 
 // Read implements io.Reader.
 func (i bodyInput) Read(b []byte) (int, error) {
+	if more := i.addPiece(nil); !more {
+		return 0, errResponseUnwanted
+	}
 	if i.bytesRead == 0 {
 		return i.conn.Read(b)
 	}
@@ -151,19 +159,21 @@
 	return earlier(silent, stalled)
 }
 
-// add appends bytes to the buffer, and waits while the buffer has no room for them. It reports whether more are to be
-// read.
-func (r *bodyReader) add(piece []byte, err error) (more bool) {
+// addPiece moves the piece to the buffer, and waits while the buffer has no room for it. err is why no bytes follow, or
+// nil. addPiece reports whether more are to be read.
+func (r *bodyReader) addPiece(err error) (more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(piece) > 0 || err != nil {
+	if len(r.piece) > 0 || err != nil {
 		closeOnce(r.begun)
 	}
-	for len(r.buffer) > 0 && len(r.buffer)+len(piece) > r.limit && !r.stopped {
+	for len(r.buffer) > 0 && len(r.buffer)+len(r.piece) > r.limit && !r.stopped {
 		closeOnce(r.settled)
 		r.changed.Wait()
 	}
-	r.buffer = append(r.buffer, piece...)
+	r.buffer = append(r.buffer, r.piece...)
+	r.bytesRead += len(r.piece)
+	r.piece = r.piece[:0]
 	r.err = err
 	if err != nil {
 		closeOnce(r.settled)
--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -217,6 +217,50 @@
 	}
 }
 
+// Guards against bytes of a chunked response that are held back, and cut off, while the server pauses where bytes and
+// framing meet: a read that held them waited for more bytes than had arrived, or for the rest of a header or trailer.
+func TestBytesBesideChunkFramingAreNotHeldBack(t *testing.T) {
+	t.Parallel()
+	const limit = 2 * time.Second
+	longText := strings.Repeat("x", 10*minArrived)
+	for name, response := range map[string]struct{ begin, body, end string }{
+		"fewer bytes than the header of their chunk is long": {"6;name=value\r\nfi", "fi", "rst!\r\n0\r\n\r\n"},
+		"a long header of the next chunk":                    {"2\r\nfi\r\n4;" + longText, "fi", "\r\nrst!\r\n0\r\n\r\n"},
+		"a long trailer":                                     {"6\r\nfirst!\r\n0\r\nname: " + longText, "first!", "\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan struct{})
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+response.begin)
+				<-received
+				_, err := io.WriteString(c, response.end)
+				return err == nil
+			})
+			n := startWithObjective(t, limit, b)
+			defer closeOnce(received) // releases the server if the test fails
+			began := time.Now()
+			resp, err := (&http.Client{Timeout: 2 * limit}).Do(newRequest(t, n.url, "unsafe", "1", "x"))
+			if err != nil {
+				t.Fatalf("no response within %v: %v", 2*limit, err)
+			}
+			defer resp.Body.Close()
+			got := make([]byte, len(response.body))
+			if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != response.body {
+				t.Fatalf("status %d, first bytes %q, error %v, want 200 and %q", resp.StatusCode, got, err, response.body)
+			}
+			if took := time.Since(began); took >= limit {
+				t.Errorf("the first bytes came after %v, want under %v", took, limit)
+			}
+			closeOnce(received)
+			rest, err := io.ReadAll(resp.Body)
+			if whole := response.body + string(rest); whole != "first!" || err != nil {
+				t.Errorf("response %q, error %v, want \"first!\"", whole, err)
+			}
+		})
+	}
+}
+
 // Guards against a short response that keeps its client waiting because no memory was left to buffer it: it is
 // streamed, and its server stops within it. The last byte of a short response is due at the client's deadline.
 func TestStalledShortResponseWithoutMemory(t *testing.T) {
