Share the check of a stalled response between its two tests

Cause: TestStalledResponseOfUnknownLength and TestStalledShortResponseWithoutMemory had the same twenty lines.

Change: checkStalledResponse has them, with the same bound of 0.5 s after the client's time. No check differs.

--- a/internal/node/slow_response_test.go
+++ b/internal/node/slow_response_test.go
@@ -124,11 +124,31 @@
 	}
 }
 
+// checkStalledResponse sends a request whose server stops within its response. It checks that the response ends 0.5 s
+// after the client's time at the latest, in a way that shows that it is not whole.
+func checkStalledResponse(t *testing.T, url string, budget time.Duration) {
+	t.Helper()
+	const slack = 500 * time.Millisecond
+	r := newRequest(t, url, "unsafe", "1", "x")
+	r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Error("the client took the response for whole, want an error status or a broken response")
+	}
+	if took := time.Since(began); took > budget+slack {
+		t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
+	}
+}
+
 // Guards against a server that stops within a response of unknown length and so keeps the client waiting: a response
 // that may be a short one ends 0.5 s after the client's time at the latest, in a way that shows that it is not whole.
 func TestStalledResponseOfUnknownLength(t *testing.T) {
 	t.Parallel()
-	const slack = 500 * time.Millisecond
 	for _, chunked := range []bool{true, false} {
 		for _, budget := range []time.Duration{600 * time.Millisecond, 2 * time.Second} {
 			t.Run(fmt.Sprint("chunked=", chunked, "/", budget), func(t *testing.T) {
@@ -138,20 +158,7 @@
 					return stalled.give(c)
 				})
 				n := startWith(t, b)
-				r := newRequest(t, n.url, "unsafe", "1", "x")
-				r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
-				began := time.Now()
-				resp, err := http.DefaultClient.Do(r)
-				if err == nil {
-					_, err = io.ReadAll(resp.Body)
-					resp.Body.Close()
-				}
-				if err == nil && resp.StatusCode == http.StatusOK {
-					t.Error("the client took the response for whole, want an error status or a broken response")
-				}
-				if took := time.Since(began); took > budget+slack {
-					t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
-				}
+				checkStalledResponse(t, n.url, budget)
 			})
 		}
 	}
@@ -265,10 +272,7 @@
 // streamed, and its server stops within it. The last byte of a short response is due at the client's deadline.
 func TestStalledShortResponseWithoutMemory(t *testing.T) {
 	t.Parallel()
-	const (
-		budget = time.Second
-		slack  = 500 * time.Millisecond
-	)
+	const budget = time.Second
 	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf")
 		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
@@ -277,20 +281,7 @@
 	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
 	cfg.Discovery = silentDiscovery(t)
 	n := start(t, cfg, func(n *Node) { n.buffers.responses.available.Store(0) })
-	r := newRequest(t, n.url, "unsafe", "1", "x")
-	r.Header.Set("X-Budget", fmt.Sprint(budget.Milliseconds(), "m"))
-	began := time.Now()
-	resp, err := http.DefaultClient.Do(r)
-	if err == nil {
-		_, err = io.ReadAll(resp.Body)
-		resp.Body.Close()
-	}
-	if err == nil && resp.StatusCode == http.StatusOK {
-		t.Error("the client took the response for whole, want an error status or a broken response")
-	}
-	if took := time.Since(began); took > budget+slack {
-		t.Errorf("the response ended after %v, want %v at most", took, budget+slack)
-	}
+	checkStalledResponse(t, n.url, budget)
 }
 
 // Guards against a long response that is cut off at a deployment whose servers close idle connections early: the idle
