--- a/check.sh
+++ b/check.sh
@@ -2,7 +2,7 @@
 # Everything that must hold before a change lands: format, vet, linter, the picture of the packages, the deploy file, tests.
 # KNOWN-RED.txt has tests that fail because of a fault that is not fixed yet, an entry each: a line "TestName: what was
 # seen", or "soak seed N: what was seen", then the lines "command:" and "issue:". Exactly these are passed over, and
-# printed.
+# printed. An entry that begins in another way is printed only: its command is none of this script's.
 set -eu
 cd "$(dirname "$0")"
 
@@ -52,7 +52,7 @@
 
 skip=()
 if [ -f KNOWN-RED.txt ]; then
-    echo "known red, passed over:"
+    echo "known red; tests and soak seeds that begin an entry are passed over:"
     cat KNOWN-RED.txt
     known_red=$(sed -n 's/^\(Test[A-Za-z0-9_]*\): .*/\1/p' KNOWN-RED.txt)
     known_seeds=$(sed -n 's/^soak seed \([0-9]*\): .*/\1/p' KNOWN-RED.txt)
