Draw the plot of a variant whose windows are all void

Cause: where the machine was too busy all windows of a variant are void, so its plot has no values and its largest one is minus infinity; the line of a step was drawn up to that. The whole report failed.

Evidence: TestPlotWithoutValidWindows before: the same error for both plots.

Change: such a plot goes up to 1. Why it works: no infinite point is left. The windows and the report's tables are as before.

Measured: that test and those of reports pass. The failed run's windows were not kept, so that they were all void is concluded from the error, which has no other source here: windows have a length.

--- a/internal/testbed/experiment/experiment_test.go
+++ b/internal/testbed/experiment/experiment_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"keelusher/internal/testbed/testbedtest"
+
+	"gonum.org/v1/plot"
 )
 
 var binary string
@@ -191,6 +193,18 @@
 	}
 }
 
+// Guards against a report that fails because the machine was so busy that all windows of a variant are void: the line of
+// a step was drawn up to the largest value of a plot without values.
+func TestPlotWithoutValidWindows(t *testing.T) {
+	r := Results{Windows: []Window{{Key: Key{Variant: "on"}, To: 1, Void: true, P50: 1, P99: 1}}}
+	steps := []ExecutedStep{{At: 0.5, What: "slow front-1"}}
+	for name, draw := range map[string]func(*plot.Plot, string) error{"ends": r.plotEnds, "latency": r.plotLatency} {
+		if err := r.save(filepath.Join(t.TempDir(), "plot.svg"), "on", steps, draw); err != nil {
+			t.Errorf("plot of %s without valid windows: %v, want no error", name, err)
+		}
+	}
+}
+
 func TestReportWithoutResults(t *testing.T) {
 	dir := t.TempDir()
 	if err := Report(dir); err == nil || !strings.Contains(err.Error(), "holds no results") {
--- a/internal/testbed/experiment/report.go
+++ b/internal/testbed/experiment/report.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"image/color"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"sort"
@@ -363,6 +364,9 @@
 	if err := draw(p, variant); err != nil {
 		return err
 	}
+	if math.IsInf(p.Y.Max, -1) { // no window is valid
+		p.Y.Max = 1
+	}
 	p.Y.Max *= 1.05
 	p.X.Max *= 1.15 // room for the legend
 	for _, m := range steps {
