Let the planted load of a tracer reach up to the finding

Cause: the test waits until the test bed was not late for 2 s, which took over 14 s on the busy machine, and then writes a tracer's log of the first ten seconds. The 4 s before the finding are not in it, so the node counts as not held up. The test bed is right.

Evidence: with a wait of 15 s in place of 6 s the old test fails with the same line each time.

Change: the log goes from the start to the finding. What the test asks is as before.

Measured: all three cases pass, with the wait of 15 s too.

--- a/internal/testbed/tracer_load_test.go
+++ b/internal/testbed/tracer_load_test.go
@@ -25,7 +25,7 @@
 			Until(t, "the test bed has run for 6 s and was not late for 2 s", func() bool {
 				return tb.now() > 6*time.Second && !tb.Void(tb.now()-2*time.Second, tb.now())
 			})
-			writeLoads(t, tb.Node("n1").tracerLog(), tb.began, tt.waited)
+			writeLoads(t, tb.Node("n1").tracerLog(), tb.began, time.Now(), tt.waited)
 			tb.checker.addFinding(Lost, "x", "n1", "planted")
 			tb.checker.addFinding(Lost, "y", "n2", "planted")
 			found, counts := tb.Findings()
@@ -37,16 +37,16 @@
 	}
 }
 
-// writeLoads writes a tracer's log of ten seconds, in each of which the tracer waited for the same time.
-func writeLoads(t *testing.T, path string, from time.Time, waited time.Duration) {
+// writeLoads writes a tracer's log from one time to another or a little later. The tracer waited for the same time in
+// each second of it.
+func writeLoads(t *testing.T, path string, from, to time.Time, waited time.Duration) {
 	t.Helper()
 	f, err := os.Create(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	for i := range 10 {
-		start := from.Add(time.Duration(i) * time.Second)
+	for start := from; start.Before(to); start = start.Add(time.Second) {
 		check(t, json.NewEncoder(f).Encode(shim.Load{From: start, Until: start.Add(time.Second), Waited: waited}))
 	}
 }
