--- a/internal/testbed/experiment/experiment_test.go
+++ b/internal/testbed/experiment/experiment_test.go
@@ -193,8 +193,8 @@
 	}
 }
 
-// Guards against a report that fails because the machine was so busy that all windows of a variant are void: the line of
-// a step was drawn up to the largest value of a plot without values.
+// Guards against a report that fails because the machine was so busy that all windows of a variant are void: the line
+// of a step was drawn up to the largest value of a plot without values.
 func TestPlotWithoutValidWindows(t *testing.T) {
 	r := Results{Windows: []Window{{Key: Key{Variant: "on"}, To: 1, Void: true, P50: 1, P99: 1}}}
 	steps := []ExecutedStep{{At: 0.5, What: "slow front-1"}}
