Fill a silent gate's accept queue whatever becomes of single dials

Cause: a silent gate fills its accept queue by dials of 10 ms, and took the first dial that failed for a sign that the queue is full. Where the process is held up, a dial is over before it begins, and the queue has room. Cuts and silent servers of the soak and of experiments let a connection through then.

Change: the gate asks the kernel for the length of the queue and dials until it is full, 50 times at most. Why it works: a dial that fails says nothing any more.

Measured: TestFailedDialsLeaveNoRoomInTheQueue fails when one dial is allowed in place of 50, and passes; with the tests of gates and links five times under -race: ok.

--- a/internal/testbed/gate.go
+++ b/internal/testbed/gate.go
@@ -17,7 +17,11 @@
 	gateSilent          // connection attempts time out and open connections stall, as if the machine were off the network
 )
 
-const backlog = 512 // length of the accept queue while the gate is open
+const (
+	backlog       = 512 // length of the accept queue while the gate is open
+	maxFillers    = 50  // attempts to fill the accept queue; one of length 0 still holds one connection
+	fillerTimeout = 10 * time.Millisecond
+)
 
 // gate is a listener that can refuse connections or fall silent, and open again at the same address. While it is silent
 // its accept queue is full: the kernel then drops SYN packets, so that connection attempts neither succeed nor fail.
@@ -136,15 +140,22 @@
 		}
 		_ = g.listener.SetDeadline(time.Now())
 		setBacklog(g.listener, 0)
-		for range 4 { // an accept queue of length 0 still holds one connection
-			c, err := net.DialTimeout("tcp", g.addr, 10*time.Millisecond)
-			if err != nil {
-				break
-			}
+		g.fillQueue(func() (net.Conn, error) { return net.DialTimeout("tcp", g.addr, fillerTimeout) })
+	}
+	return nil
+}
+
+// fillQueue opens connections until the accept queue is full. A dial may also time out because this process was held up,
+// so its failure does not show that the queue is full. g.mu must be held.
+func (g *gate) fillQueue(dial func() (net.Conn, error)) {
+	for range maxFillers {
+		if acceptQueueFull(g.listener) {
+			return
+		}
+		if c, err := dial(); err == nil {
 			g.queueFillers[c.LocalAddr().String()] = c
 		}
 	}
-	return nil
 }
 
 // setBacklog sets the length of the accept queue of an open listener.
--- a/internal/testbed/gate_test.go
+++ b/internal/testbed/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +16,30 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// Guards against a cut that lets a connection through: on a busy machine the first dial that was to fill the accept
+// queue timed out before it began, and the gate took the queue for full.
+func TestFailedDialsLeaveNoRoomInTheQueue(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	defer listener.Close()
+	g := &gate{listener: listener.(*net.TCPListener), queueFillers: map[string]net.Conn{}}
+	setBacklog(g.listener, 0)
+	dials := 0
+	g.fillQueue(func() (net.Conn, error) {
+		if dials++; dials <= 3 {
+			return nil, os.ErrDeadlineExceeded
+		}
+		return net.Dial("tcp", listener.Addr().String())
+	})
+	if c, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a connection was established though the queue was to be full")
+	}
+	for _, c := range g.queueFillers {
+		c.Close()
+	}
+}
+
 // A gate that refuses connections must look like a dead process, and one that is silent like a vanished machine. Guards
 // against a gate that loses its address, or that, once open again, accepts one of the connections that filled its
 // accept queue.
--- a/internal/testbed/tcp_state.go
+++ b/internal/testbed/tcp_state.go
@@ -37,3 +37,16 @@
 	}
 	return true
 }
+
+// acceptQueueFull reports whether the kernel drops new connections to a listener because its accept queue is full.
+func acceptQueueFull(listener *net.TCPListener) (full bool) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed listener
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		full = err == nil && info.Unacked > info.Sacked // of a listener: the queue's length, and its backlog
+	})
+	return full
+}
