--- a/internal/testbed/gate.go
+++ b/internal/testbed/gate.go
@@ -145,8 +145,8 @@
 	return nil
 }
 
-// fillQueue opens connections until the accept queue is full. A dial may also time out because this process was held up,
-// so its failure does not show that the queue is full. g.mu must be held.
+// fillQueue opens connections until the accept queue is full. A dial may also time out because this process was held
+// up, so its failure does not show that the queue is full. g.mu must be held.
 func (g *gate) fillQueue(dial func() (net.Conn, error)) {
 	for range maxFillers {
 		if acceptQueueFull(g.listener) {
