Silence a gate only once an Accept under way has returned

Cause: a gate that falls silent sets a deadline that stops later calls of Accept, then fills the accept queue. A call that had been told of a connection but not yet taken it is not stopped: the gate found the queue full with that connection, the call then took it, and the next dial found room.

Change: Accept is called under a mutex, which the gate takes between the deadline and the filling. Why it works: the call under way has returned by then, and later ones end at the deadline without taking anything.

--- a/internal/testbed/gate.go
+++ b/internal/testbed/gate.go
@@ -30,6 +30,7 @@
 	accepted   chan net.Conn
 	done       chan struct{}
 	goroutines sync.WaitGroup // goroutines that Close waits for
+	accepting  sync.Mutex     // held during each call of the listener's Accept; locked after mu if both are
 
 	mu           sync.Mutex
 	mode         gateMode
@@ -64,10 +65,12 @@
 }
 
 // acceptLoop accepts connections until the listener is closed, and passes them to Accept.
-func (g *gate) acceptLoop(listener *net.TCPListener) {
+func (g *gate) acceptLoop(listener net.Listener) {
 	defer g.goroutines.Done()
 	for {
+		g.accepting.Lock()
 		c, err := listener.Accept()
+		g.accepting.Unlock()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -139,6 +142,8 @@
 			}
 		}
 		_ = g.listener.SetDeadline(time.Now())
+		g.accepting.Lock() // a call of Accept that has begun may still take a connection out of the queue
+		defer g.accepting.Unlock()
 		setBacklog(g.listener, 0)
 		g.fillQueue(func() (net.Conn, error) { return net.DialTimeout("tcp", g.addr, fillerTimeout) })
 	}
