Bound the wait for a response after a failed write of a long request

Cause: when a write of a request with a streamed body fails for another reason than its timeout, the attempt waits for a response that the server may have sent before the connection broke. The connection has no deadline then. If it is not broken, the server waits for the request and the attempt for the server.

Refuted: a body that is read slowly, a busy tracer (a fifth of its time), a stop that is noticed late.

Change: after the failed write the connection has a deadline of 0.5 s. Why it works: a response sent before the connection broke has arrived by then, and 0.5 s after the 2.3 s of a pause are within the 3 s promised.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -36,6 +36,10 @@
 	retryBefore time.Duration
 }
 
+// earlyResponseTimeout limits the wait for the response to a request whose write has failed. A response that the server
+// sent before the connection broke has arrived by then.
+const earlyResponseTimeout = 500 * time.Millisecond
+
 var (
 	errResponseUnwanted = errors.New("the rest of the response is not needed")
 	errEarlyResponse    = errors.New("the server responded or closed the connection before the request was written")
@@ -199,9 +203,11 @@
 		p.requestsWritten <- requestWritten{attempt: att, writtenAt: now}
 		return <-c.replies, nil
 	}
-	// The server may have responded without reading the whole request. If it has not, closing the connection makes
+	// The server may have responded without reading the whole request. If it has not, the deadline or the close makes
 	// readResponses send a reply with an error.
-	if !errors.Is(err, errEarlyResponse) {
+	if errors.Is(err, errEarlyResponse) {
+		p.setDeadline(c, time.Now().Add(earlyResponseTimeout))
+	} else {
 		p.close(c)
 	}
 	received := <-c.replies
--- a/internal/node/slow_body_test.go
+++ b/internal/node/slow_body_test.go
@@ -80,3 +80,45 @@
 		})
 	}
 }
+
+// shutDownWrites makes writes to the node's only connection to a server fail, once that connection is idle.
+func shutDownWrites(t *testing.T, p *pool) {
+	t.Helper()
+	eventually(t, "the connection is idle, and shut down for writes", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.idle.Len() != 1 {
+			return false
+		}
+		toServer := p.idle.Front().Value.(*serverConn).Conn.(*net.TCPConn)
+		return toServer.CloseWrite() == nil
+	})
+}
+
+// Guards against a wait without end: the head of a request with a long body cannot be written, and the server, which
+// has seen nothing of it, neither responds nor closes the connection.
+func TestFailedWriteOfLongRequestIsAnswered(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	n := startWith(t, newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		respond(c, "200 OK", "done")
+		<-ended // the connection stays open
+		return false
+	}))
+	do(t, newRequest(t, n.url, "unsafe", "1", ""))
+	shutDownWrites(t, n.pool)
+	time.Sleep(300 * time.Millisecond) // after a quiet time the connection is used again
+	c := sendHead(t, n, fmt.Sprintf("Content-Length: %d", 3<<20))
+	write(t, c, strings.Repeat("x", maxBufferedBody))
+	began := time.Now()
+	setReadTimeout(t, c, 10*time.Second)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no response in %v: %v", time.Since(began), err)
+	}
+	response.Body.Close()
+	if took := time.Since(began); response.StatusCode != http.StatusServiceUnavailable || took > 3*time.Second {
+		t.Errorf("got status %d after %v, want 503 after 3s at most", response.StatusCode, took)
+	}
+}
