Forward a response that comes before the end of a long request

Forced: a server responds 200 after a part of a body of over 64 KiB, and the client gets 503, which says that nothing was executed and that it may send the request again.

Cause: the attempt recognizes an early response by its writer's error. http.Request.Write wraps errors of the copy of the body in a type without Unwrap, so errors.Is finds this one only if the head could not be written. The attempt closed the connection and discarded the response.

Evidence: TestEarlyResponseToLongRequestIsForwarded on the code before, 3 of 3 in both forms: "got status 503, want the server's 200".

Change: the writer keeps its error and writeStreamed returns that one; a response that has arrived is forwarded whatever ended the write. Why it works: whether a response is there no longer depends on how the library passes on an error.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -205,14 +205,13 @@
 	}
 	// The server may have responded without reading the whole request. If it has not, the deadline or the close makes
 	// readResponses send a reply with an error.
-	if errors.Is(err, errEarlyResponse) {
+	if errors.Is(err, errEarlyResponse) || len(c.replies) > 0 {
 		p.setDeadline(c, time.Now().Add(earlyResponseTimeout))
 	} else {
 		p.close(c)
 	}
 	received := <-c.replies
-	if received.err != nil || !errors.Is(err, errEarlyResponse) {
-		received.discard()
+	if received.err != nil {
 		return reply{}, fmt.Errorf("write to endpoint %s: %w", att.endpoint.id, err)
 	}
 	received.early = true
@@ -222,24 +221,31 @@
 // writeStreamed writes a request while its body is still arriving from the client.
 func (p *pool) writeStreamed(c *serverConn, att *attempt) error {
 	body := io.MultiReader(bytes.NewReader(att.request.body), att.request.bodyStream)
-	w := bufio.NewWriterSize(&streamWriter{serverConn: c, timeout: att.timeout}, p.buffers.chunkSize)
-	if err := p.outgoingRequest(att, body).Write(w); err != nil {
-		return err
+	w := &streamWriter{serverConn: c, timeout: att.timeout}
+	buffered := bufio.NewWriterSize(w, p.buffers.chunkSize)
+	err := p.outgoingRequest(att, body).Write(buffered)
+	if err == nil {
+		err = buffered.Flush()
+	}
+	if w.err != nil { // http.Request.Write hides an error of its writer from errors.Is
+		return w.err
 	}
-	return w.Flush()
+	return err
 }
 
 // streamWriter writes a request to a server, with a timeout for each write, until a response arrives.
 type streamWriter struct {
 	*serverConn
 	timeout time.Duration
+	err     error // of the write that failed
 }
 
 // Write implements io.Writer. It returns errEarlyResponse if a response has arrived, or if the write fails for another
 // reason than its timeout: a server that responds early may close the connection.
 func (w *streamWriter) Write(b []byte) (int, error) {
 	if len(w.replies) > 0 {
-		return 0, errEarlyResponse
+		w.err = errEarlyResponse
+		return 0, w.err
 	}
 	// The error is ignored: it occurs only on a closed connection, where the write fails too.
 	_ = w.SetWriteDeadline(time.Now().Add(w.timeout))
@@ -247,6 +253,7 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errEarlyResponse // a response that the server sent before the connection broke may still be read
 	}
+	w.err = err
 	return n, err
 }
 
--- a/internal/node/slow_body_test.go
+++ b/internal/node/slow_body_test.go
@@ -122,3 +122,45 @@
 		t.Errorf("got status %d after %v, want 503 after 3s at most", response.StatusCode, took)
 	}
 }
+
+// Guards against a response that is lost because its server sent it before it had the whole request: the client would
+// be told that nothing was executed.
+func TestEarlyResponseToLongRequestIsForwarded(t *testing.T) {
+	t.Parallel()
+	for name, length := range map[string]string{
+		"with a length": "Content-Length: 3145728",
+		"in chunks":     "Transfer-Encoding: chunked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			cfg := testConfig(t, "pushed", inService("s-0", server.Addr().String()))
+			cfg.Discovery = silentDiscovery(t)
+			n := start(t, cfg)
+			c := sendHead(t, n, length)
+			const halfChunk = 1 << 19
+			if strings.HasSuffix(length, "chunked") {
+				write(t, c, fmt.Sprintf("%x\r\n", 2*halfChunk))
+			}
+			write(t, c, strings.Repeat("x", halfChunk))
+			toServer, err := server.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer toServer.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(toServer)); err != nil {
+				t.Fatal(err)
+			}
+			respond(toServer, "200 OK", "done")
+			time.Sleep(50 * time.Millisecond) // lets the response arrive before the next part of the body
+			write(t, c, strings.Repeat("x", halfChunk))
+			if got := readStatus(t, c); got != http.StatusOK {
+				t.Errorf("got status %d, want the server's 200", got)
+			}
+		})
+	}
+}
