--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -38,6 +38,7 @@
 // cases holds the cases by name. Their error means that the case could not run.
 var cases = map[string]func(*play) error{
 	"inner-request": innerRequest,
+	"half-heads":    halfHeads,
 }
 
 func main() {
