--- a/review/testdata/standin2/crowd.go
+++ b/review/testdata/standin2/crowd.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -33,6 +35,69 @@
 	return nil
 }
 
+// halfBodies: many improper peers send a head and the first bytes of a long body, and stay. Meanwhile proper clients
+// send short requests on new connections.
+func halfBodies(p *play) error {
+	const peers, clients = 1000, 10
+	server, err := startServer("s-1", answerAll)
+	if err != nil {
+		return err
+	}
+	n, err := p.startTier(smallLimits, server)
+	if err != nil {
+		return err
+	}
+	defer n.stop()
+	if p.trouble {
+		err := p.crowd(n.listen, peers, func(i int) string {
+			return head("POST", fmt.Sprintf("peer-%d", i), slotBooking, "Content-Length: 1000000") + "half"
+		})
+		if err != nil {
+			return err
+		}
+	}
+	var running sync.WaitGroup
+	late := make([]time.Duration, clients)
+	for i := range clients {
+		running.Go(func() { late[i] = p.ask(n.listen, fmt.Sprintf("proper-%d", i)) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	running.Wait()
+	for i, after := range late {
+		if after > budget+lostAfter {
+			p.breach("proper-%d had no final answer %v after its time", i, lostAfter)
+		}
+	}
+	return nil
+}
+
+// ask sends a request on a new connection, and once more on another if that is closed unread. It returns when the
+// final answer came.
+func (p *play) ask(address, id string) (after time.Duration) {
+	began := time.Now()
+	p.line("client: sends %s", id)
+	status, err := askOnce(address, id)
+	if err != nil {
+		p.line("client: %s: %v; sends it once more", id, err)
+		status, err = askOnce(address, id)
+	}
+	after = time.Since(began)
+	p.line("client: %s: %d, error %v, after %.3f s", id, status, err, after.Seconds())
+	return after
+}
+
+func askOnce(address, id string) (status int, err error) {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer connection.Close()
+	if _, err := io.WriteString(connection, head("GET", id, calendarView)); err != nil {
+		return 0, err
+	}
+	return readAnswer(bufio.NewReader(connection))
+}
+
 // halfHeads: many improper peers send the most part of a head that has many short lines, and stay. The platform ends
 // the node once it takes more memory than its limit. Meanwhile a proper client sends requests.
 func halfHeads(p *play) error {
--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(*play) error{
 	"inner-request": innerRequest,
 	"half-heads":    halfHeads,
+	"half-bodies":   halfBodies,
 }
 
 func main() {
