Review case 9: a long answer is cut off while its client reads it at 64 kB a second

Cause: each write to a client has 5 s, but a writer is woken only once a third of the socket's send buffer is free, which takes longer at that rate (writeChunk in internal/node/client_handler.go).

Change: the case's claim, script and stand-ins. Nothing is fixed.

--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -40,6 +40,7 @@
 	"inner-request": innerRequest,
 	"half-heads":    halfHeads,
 	"half-bodies":   halfBodies,
+	"slow-reader":   slowReader,
 }
 
 func main() {
