Review case 10: the end of a chunked answer is lost if it comes late after its bytes

Cause: streamResponse ends with the write deadline of the last piece, which is over by then, so the last chunk is not written (internal/node/client_handler.go).

Nothing is fixed.

--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -41,6 +41,7 @@
 	"half-heads":    halfHeads,
 	"half-bodies":   halfBodies,
 	"slow-reader":   slowReader,
+	"late-end":      lateEnd,
 }
 
 func main() {
