Review case 8: nodes refuse everything once servers are replaced after a slow time

Cause: shrinkWithList lowers the concurrency limit without a bound; below the random rounding offset that the last falling adjustment left, no attempt may start, and only the end of an attempt would raise the limit (policy/concurrency.go).

Change: the case's claim, script and stand-ins; discovery can change its list. The half-written bodies become case 9 and the slow reader case 10. Nothing is fixed.

--- a/review/testdata/standin2/answers.go
+++ b/review/testdata/standin2/answers.go
@@ -11,36 +11,6 @@
 	"time"
 )
 
-// lateEnd: a server sends the bytes of a long answer at once, and the end of its chunked body some seconds later.
-func lateEnd(p *play) error {
-	const length = 100 << 10
-	pause := 6 * time.Second
-	if !p.trouble {
-		pause = time.Second
-	}
-	server, err := startServer("s-1", func(connection net.Conn, reader *bufio.Reader) {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		id := request.Header.Get("X-Call-Id")
-		p.line("server: runs %s", id)
-		_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", length,
-			bytes.Repeat([]byte("a"), length))
-		p.line("server: has written the %d bytes of the answer to %s, error %v", length, id, err)
-		time.Sleep(pause)
-		_, err = io.WriteString(connection, "0\r\n\r\n")
-		p.line("server: has written the end of the answer to %s, error %v", id, err)
-		_, _ = io.Copy(io.Discard, connection)
-	})
-	if err != nil {
-		return err
-	}
-	return p.readLong(server, "late-end-1", length, nil, func(body io.Reader) (int64, error) {
-		return io.Copy(io.Discard, body)
-	})
-}
-
 // slowReader: a client reads a long answer at 64 kB a second, in pieces.
 func slowReader(p *play) error {
 	const length, rate, pieces = 6 << 20, 64000, 10 // pieces in a second
--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -37,11 +37,11 @@
 
 // cases holds the cases by name. Their error means that the case could not run.
 var cases = map[string]func(*play) error{
-	"inner-request": innerRequest,
-	"half-heads":    halfHeads,
-	"half-bodies":   halfBodies,
-	"slow-reader":   slowReader,
-	"late-end":      lateEnd,
+	"inner-request":    innerRequest,
+	"half-heads":       halfHeads,
+	"half-bodies":      halfBodies,
+	"slow-reader":      slowReader,
+	"replaced-servers": replacedServers,
 }
 
 func main() {
--- a/review/testdata/standin2/platform.go
+++ b/review/testdata/standin2/platform.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,10 +68,14 @@
 // heartbeat is the time after which discovery sends an empty line on a watch.
 const heartbeat = 2 * time.Second
 
-// discovery is the stand-in of the discovery service, as the protocol page describes it. Its list does not change.
+// discovery is the stand-in of the discovery service, as the protocol page describes it.
 type discovery struct {
 	address string
-	hosts   list
+
+	mu      sync.Mutex
+	current list
+	changes []list
+	changed chan struct{} // closed at the next change
 }
 
 // startDiscovery serves a list of hosts.
@@ -78,23 +84,54 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{address: listener.Addr().String(), hosts: list{Seq: 1, Whole: true, Hosts: hosts}}
+	d := &discovery{
+		address: listener.Addr().String(),
+		current: list{Seq: 1, Whole: true, Hosts: slices.Clone(hosts)},
+		changed: make(chan struct{}),
+	}
 	go func() { _ = http.Serve(listener, d) }()
 	return d, nil
 }
 
-// ServeHTTP answers a call for the whole list, or a watch.
+// change adds hosts to the list, or removes those that are terminated, and tells all watches.
+func (d *discovery) change(hosts []host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.current.Seq++
+	for _, h := range hosts {
+		d.current.Hosts = slices.DeleteFunc(d.current.Hosts, func(o host) bool { return o.Host == h.Host })
+		if h.Health != "terminated" {
+			d.current.Hosts = append(d.current.Hosts, h)
+		}
+	}
+	d.changes = append(d.changes, list{Seq: d.current.Seq, Hosts: hosts})
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// ServeHTTP answers a call for the whole list, or a watch, which begins with the whole list.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/v1/endpoints" {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(d.hosts)
+	encoder := json.NewEncoder(w)
+	d.mu.Lock()
+	_ = encoder.Encode(d.current)
+	next, changed := len(d.changes), d.changed
+	d.mu.Unlock()
 	if r.URL.Query().Get("watch") != "1" {
 		return
 	}
 	for http.NewResponseController(w).Flush() == nil {
 		select {
+		case <-changed:
+			d.mu.Lock()
+			for ; next < len(d.changes); next++ {
+				_ = encoder.Encode(d.changes[next])
+			}
+			changed = d.changed
+			d.mu.Unlock()
 		case <-time.After(heartbeat):
 			_, _ = io.WriteString(w, "\n")
 		case <-r.Context().Done():
@@ -116,7 +153,7 @@
 }
 
 // settings returns the settings of a node of the first tier, with the figures of the example on the wire page.
-func settings() map[string]any {
+func settings(nodes, index int) map[string]any {
 	lane := func(name, effect string) map[string]any {
 		return map[string]any{
 			"name": name, "effect": effect, "deadline-ms": budget.Milliseconds(), "target-ms": 2500, "late-share": 0,
@@ -124,7 +161,7 @@
 		}
 	}
 	return map[string]any{
-		"balancers": 2, "me": 0, "zone": "thorvaldson", "localities": []string{"thorvaldson", "kirk-hall"},
+		"balancers": nodes, "me": index, "zone": "thorvaldson", "localities": []string{"thorvaldson", "kirk-hall"},
 		"tier": 0, "tiers": []string{"front", "schedule", "rooms"}, "family": "chain",
 		"family-info": map[string]any{"passes-deadline": true}, "shapes": []string{"front-small"}, "tick-ms": 5,
 		"blend":   map[string]any{"whole": 0.75, "worst-class": 0.1, "worst-tenant": 0.1, "worst-window": 0.05},
@@ -152,6 +189,8 @@
 	discovery string
 	limits    limits
 	hosts     []host // the list that it last knew
+	nodes     int    // of the tier; 0: this one alone
+	index     int    // among them
 }
 
 // node is a process of the balancer, started with the command of the deploy file.
@@ -203,8 +242,8 @@
 		return nil, err
 	}
 	config, err := json.Marshal(map[string]any{
-		"name": c.name, "listen": listen, "control": control, "discovery": c.discovery, "seed": "8c1f30d27a5be964",
-		"limits": c.limits, "known": list{Seq: 1, Whole: true, Hosts: c.hosts}, "settings": settings(),
+		"name": c.name, "listen": listen, "control": control, "discovery": c.discovery, "seed": fmt.Sprintf("%016x", rand.Uint64()),
+		"limits": c.limits, "known": list{Seq: 1, Whole: true, Hosts: c.hosts}, "settings": settings(max(c.nodes, 1), c.index),
 	})
 	if err != nil {
 		return nil, err
