--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
     echo "run the build of deploy/balancer.toml and review/build-2.sh first" >&2
     exit 2
 }
-exec bin/review-2 slow-reader "$here"
+exec bin/review-2 late-end "$here"
--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -40,7 +40,7 @@
 	"inner-request":    innerRequest,
 	"half-heads":       halfHeads,
 	"half-bodies":      halfBodies,
-	"slow-reader":      slowReader,
+	"late-end":         lateEnd,
 	"replaced-servers": replacedServers,
 }
 
--- a/review/testdata/standin2/replaced.go
+++ b/review/testdata/standin2/replaced.go
@@ -94,7 +94,7 @@
 	for i := range tier {
 		name := fmt.Sprintf("n%d", i)
 		p.line("%s: %v, attempts %d", name, answered[i], attempts[name])
-		if answered[i][http.StatusServiceUnavailable] >= refusals && attempts[name] == 0 {
+		if refused := answered[i][http.StatusServiceUnavailable]; refused >= refusals && len(answered[i]) == 1 && attempts[name] == 0 {
 			refusing++
 		}
 	}
