Review: a script that is told to end leaves no process and no folder behind

Cause: SIGTERM to a script ended the stand-in program without its clean-up; a node's two addresses could be the same.

Change: the program removes its temporary folder and exits with 2 on SIGTERM and SIGINT; both addresses are found before either is used.

--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -6,16 +6,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
 	"time"
 )
 
 // The exit codes.
 const (
-	held       = 0
-	broken     = 1
-	couldNotBe = 2
+	held        = 0
+	broken      = 1
+	couldNotRun = 2
 )
 
 // longest is the time after which a case counts as one that could not run.
@@ -49,7 +51,7 @@
 	runtime.LockOSThread()
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
-		os.Exit(couldNotBe)
+		os.Exit(couldNotRun)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
@@ -59,25 +61,32 @@
 	record, err := newRecorder(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return couldNotBe
+		return couldNotRun
 	}
 	directory, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return couldNotBe
+		return couldNotRun
 	}
 	defer os.RemoveAll(directory)
-	time.AfterFunc(longest, func() {
-		record.line("the case could not run: not over after %v", longest)
+	go func() {
+		ended := make(chan os.Signal, 1)
+		signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-ended:
+			record.line("the case could not run: it was told to end")
+		case <-time.After(longest):
+			record.line("the case could not run: not over after %v", longest)
+		}
 		os.RemoveAll(directory)
-		os.Exit(couldNotBe)
-	})
+		os.Exit(couldNotRun)
+	}()
 	p := &play{recorder: record, directory: directory, trouble: os.Getenv("TROUBLE") != "0"}
 	p.line("case %s, with the disruption: %t", name, p.trouble)
 	if err := cases[name](p); err != nil {
 		p.line("the case could not run: %v", err)
 		fmt.Fprintf(os.Stderr, "%s: the case could not run: %v\n", name, err)
-		return couldNotBe
+		return couldNotRun
 	}
 	if p.breaches > 0 {
 		p.line("the rule was broken, %d times", p.breaches)
--- a/review/testdata/standin2/platform.go
+++ b/review/testdata/standin2/platform.go
@@ -142,7 +142,9 @@
 
 // inService returns an entry for a server that started long ago.
 func inService(name, address string) host {
-	return host{Host: name, Dial: address, Site: "thorvaldson", Class: "front-small", Block: 1, Health: "in_service", Share: 1}
+	return host{
+		Host: name, Dial: address, Site: "thorvaldson", Class: "front-small", Block: 1, Health: "in_service", Share: 1,
+	}
 }
 
 // limits are those of a node.
@@ -199,7 +201,6 @@
 	listen  string
 	control string
 	ended   chan struct{} // closed when the process has ended
-	log     string        // path
 }
 
 var runCommand = regexp.MustCompile(`(?m)^run = "(.*)"$`)
@@ -217,14 +218,17 @@
 	return string(match[1]), nil
 }
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns loopback addresses that nobody listens on.
+func freeAddresses(count int) (addresses []string, err error) {
+	for range count {
+		listener, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // when all are found, so that they differ
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // startNode starts a node and waits until it says that it can serve.
@@ -233,17 +237,16 @@
 	if err != nil {
 		return nil, err
 	}
-	listen, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-	control, err := freeAddress()
+	addresses, err := freeAddresses(2)
 	if err != nil {
 		return nil, err
 	}
+	listen, control := addresses[0], addresses[1]
 	config, err := json.Marshal(map[string]any{
-		"name": c.name, "listen": listen, "control": control, "discovery": c.discovery, "seed": fmt.Sprintf("%016x", rand.Uint64()),
-		"limits": c.limits, "known": list{Seq: 1, Whole: true, Hosts: c.hosts}, "settings": settings(max(c.nodes, 1), c.index),
+		"name": c.name, "listen": listen, "control": control, "discovery": c.discovery,
+		"seed": fmt.Sprintf("%016x", rand.Uint64()), "limits": c.limits,
+		"known":    list{Seq: 1, Whole: true, Hosts: c.hosts},
+		"settings": settings(max(c.nodes, 1), c.index),
 	})
 	if err != nil {
 		return nil, err
@@ -258,9 +261,8 @@
 		listen:  listen,
 		control: control,
 		ended:   make(chan struct{}),
-		log:     filepath.Join(c.directory, c.name+".log"),
 	}
-	logFile, err := os.Create(n.log)
+	logFile, err := os.Create(filepath.Join(c.directory, c.name+".log"))
 	if err != nil {
 		return nil, err
 	}
@@ -294,16 +296,6 @@
 	return fmt.Errorf("the node at %s was not ready in time", n.listen)
 }
 
-// running reports whether the process has not ended.
-func (n *node) running() bool {
-	select {
-	case <-n.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // signal sends a signal to the node.
 func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
 
--- a/review/testdata/standin2/replaced.go
+++ b/review/testdata/standin2/replaced.go
@@ -94,7 +94,8 @@
 	for i := range tier {
 		name := fmt.Sprintf("n%d", i)
 		p.line("%s: %v, attempts %d", name, answered[i], attempts[name])
-		if refused := answered[i][http.StatusServiceUnavailable]; refused >= refusals && len(answered[i]) == 1 && attempts[name] == 0 {
+		refused := answered[i][http.StatusServiceUnavailable]
+		if refused >= refusals && len(answered[i]) == 1 && attempts[name] == 0 {
 			refusing++
 		}
 	}
