Divide a client's bytes into requests before the HTTP server reads them ahead

A peer sent a proper request together with the first part of a POST that has a Content-Length, and the rest of its head, which says that it is chunked, after the answer. A booking inside the body of that POST reached a server. Also, a valid chunked request that arrived in part with the one before it was answered 400.

Cause: net/http drops a Content-Length beside chunks, so the framing is checked on the node's own record of the head. net/http reads up to 4 KiB, and one byte in the background, beyond the request that it serves. The record was reset when the response was written, and missed what had been read ahead.

Change: inbound.Framer sits between the socket and net/http. It passes a head once it is complete, a body with a length to its last byte, a chunked body up to each line feed, and nothing of the next request before the response to this one. The framing of each head is read from its whole record.

Evidence: on the code before, TestNoRequestSmuggledBehindAPipelinedRequest got 200 for the ambiguous message in all three forms, and three requests at the server in place of one; TestPipelinedRequestsAreServed got 400 for a proper request.

"other request's head" of TestCheckFraming is gone: the record cannot be that of another request any more; the new tests check that instead, and six further heads are tried.

--- a/internal/admin/endpoint.go
+++ b/internal/admin/endpoint.go
@@ -20,7 +20,8 @@
 	// CallTimeout is the timeout for reading a call, and for writing its response.
 	CallTimeout = 2 * time.Second
 
-	maxHeaderBytes = 4 << 10
+	// MaxHead is the limit on the size of the head of a call.
+	MaxHead = 4 << 10
 )
 
 // Node is the node that the endpoint shows and controls. If a method returns a bool besides its result, the bool is
@@ -53,7 +54,7 @@
 		Handler:        &endpoint{node: node},
 		ReadTimeout:    CallTimeout,
 		WriteTimeout:   CallTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: MaxHead,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	server.SetKeepAlivesEnabled(false)
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -18,12 +18,12 @@
 const (
 	lingerTimeout  = 250 * time.Millisecond // wait for the client to close its end of a connection with unread bytes
 	maxLingerBytes = 256 << 10              // limit on the bytes that are discarded within lingerTimeout
-
-	// backgroundReadSize is the size of the read by which net/http notices a disconnect while it serves a request. It
-	// makes a read of this size only after it has read the whole request.
-	backgroundReadSize = 1
 )
 
+// errReadBeyondRequest is the error of a read that asks for bytes of the next request before the response to the
+// previous one has been written.
+var errReadBeyondRequest = errors.New("the HTTP server reads beyond the end of a request")
+
 // pastDeadline is a read deadline that has passed: it interrupts a read at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -33,7 +33,7 @@
 	listener *limitedListener
 
 	acceptedAt time.Time
-	head       inbound.Head // of the request that is being read
+	framer     inbound.Framer // divides the bytes that have been read into requests
 
 	// Guarded by listener.mu.
 	state          clientConnState
@@ -52,6 +52,7 @@
 		Conn:       accepted,
 		listener:   l,
 		acceptedAt: acceptedAt,
+		framer:     inbound.Framer{MaxHead: l.maxHead},
 		state:      clientConnIdle,
 	}
 	c.enterList(l.awaitingHead)
@@ -76,7 +77,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	expired = c.state == clientConnExpired
-	if c.awaitsHead() && c.head.Partial() {
+	if c.awaitsHead() && c.framer.Partial() {
 		c.listener.metrics.Update(func(c *metrics.Counters) { c.IncompleteHeads++ })
 	}
 	c.transition(closeStarted)
@@ -153,31 +154,39 @@
 
 // Read is called by the HTTP server. It makes sure that no connection is closed as idle while a request arrives.
 func (c *clientConn) Read(b []byte) (int, error) {
+	if n := c.framer.Next(b); n > 0 {
+		return n, nil
+	}
 	for {
-		n, err := c.Conn.Read(b)
+		limit := c.framer.ReadLimit(len(b))
+		if limit == 0 {
+			return 0, errReadBeyondRequest
+		}
+		n, err := c.Conn.Read(b[:limit])
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			var retry bool
-			if n, retry, err = c.handleReadTimeout(b, err); retry {
+			if n, retry, err = c.handleReadTimeout(b[:limit], c.framer.IsBackgroundRead(len(b)), err); retry {
 				continue
 			}
 		}
-		c.head.Add(b[:n])
-		return n, err
+		if n = c.framer.Receive(b, n); n > 0 || err != nil {
+			return n, err
+		}
 	}
 }
 
 // handleReadTimeout decides how a read ends whose deadline has passed: with bytes that were waiting in the kernel, with
 // the timeout, or with a retry. Bytes may be waiting because package net checks the deadline before it calls read(2). A
-// connection without a complete request is closed only if no bytes are waiting.
-func (c *clientConn) handleReadTimeout(b []byte, timeout error) (n int, retry bool, err error) {
+// connection without a complete request is closed only if no bytes are waiting. The argument requestComplete says that
+// the read only notices a disconnect.
+func (c *clientConn) handleReadTimeout(b []byte, requestComplete bool, timeout error) (n int, retry bool, err error) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if c.state == clientConnClosed {
 		return 0, false, net.ErrClosed
 	}
-	idle := c.awaitsHead() && !c.head.Started()
+	idle := c.awaitsHead() && !c.framer.Started()
 	evicted := c.listener.evicting == c
-	requestComplete := len(b) == backgroundReadSize
 	if requestComplete {
 		c.transition(requestRead)
 	}
@@ -218,10 +227,10 @@
 // such head. It is needed because the read deadline is still that of the idle connection, which may pass before
 // headTimeout. The caller holds the lock.
 func (c *clientConn) headTimeLeft() time.Duration {
-	if !c.reused || !c.awaitsHead() || !c.head.Started() {
+	if !c.reused || !c.awaitsHead() || !c.framer.Started() {
 		return 0
 	}
-	return headTimeout - c.head.Age()
+	return headTimeout - c.framer.Age()
 }
 
 // closeCause returns why the reader closes the connection. The caller holds the lock.
--- a/internal/node/client_handler.go
+++ b/internal/node/client_handler.go
@@ -48,12 +48,12 @@
 	if !recordHeadRead(r) {
 		h.abortEvicted()
 	}
-	if err := inbound.CheckFraming(r, headOf(r)); err != nil {
+	if err := inbound.CheckFraming(r, framerOf(r)); err != nil {
 		h.reject(w, err)
 		return
 	}
 	if r.URL.Path == "/ready" {
-		h.serveReadiness(w, r)
+		h.serveReadiness(w)
 		return
 	}
 	request, err := h.parseRequest(w, r)
@@ -80,19 +80,19 @@
 		if final.status == abortResponse.status {
 			h.abort(request)
 		}
-		h.writeResponse(w, r, request, final)
+		h.writeResponse(w, request, final)
 	case <-r.Context().Done():
 		h.reportDisconnect(request)
 	}
 }
 
 // serveReadiness answers 200 if the node serves clients, else 503.
-func (h *clientHandler) serveReadiness(w http.ResponseWriter, r *http.Request) {
+func (h *clientHandler) serveReadiness(w http.ResponseWriter) {
 	status := http.StatusOK
 	if !h.ready() {
 		status = http.StatusServiceUnavailable
 	}
-	h.beginResponse(w, r)
+	h.beginResponse(w)
 	w.WriteHeader(status)
 }
 
@@ -145,11 +145,8 @@
 	http.Error(w, reason.Error(), status)
 }
 
-// beginResponse prepares the connection for its next request, or announces that it is closed after this response.
-func (h *clientHandler) beginResponse(w http.ResponseWriter, r *http.Request) {
-	if c := clientConnOf(r); c != nil {
-		c.head.Reset()
-	}
+// beginResponse announces, if it is so, that the connection is closed after this response.
+func (h *clientHandler) beginResponse(w http.ResponseWriter) {
 	if h.closeConnections() {
 		w.Header().Set("Connection", "close")
 	}
@@ -157,11 +154,11 @@
 
 // writeResponse writes the final response to a request. Write errors are ignored: the request's context reports that
 // the client has disconnected.
-func (h *clientHandler) writeResponse(w http.ResponseWriter, r *http.Request, request *clientRequest, final response) {
+func (h *clientHandler) writeResponse(w http.ResponseWriter, request *clientRequest, final response) {
 	controller := http.NewResponseController(w)
 	defer final.bodyMemory.release()
 	_ = controller.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	h.beginResponse(w, r)
+	h.beginResponse(w)
 	bodyUnread := request.bodyStream != nil && !request.bodyStream.Stop()
 	if bodyUnread {
 		w.Header().Set("Connection", "close")
--- a/internal/node/client_listener.go
+++ b/internal/node/client_listener.go
@@ -24,6 +24,7 @@
 	net.Listener
 	metrics   *metrics.Recorder
 	decisions *metrics.Decisions
+	maxHead   int           // limit of the HTTP server on the size of a request's head
 	closing   chan struct{} // closed by Close
 	aborting  atomic.Bool   // the node stops: connections are closed without lingering
 
@@ -42,6 +43,7 @@
 		Listener:     ln,
 		metrics:      m,
 		decisions:    d,
+		maxHead:      inbound.MaxHead,
 		closing:      make(chan struct{}),
 		limit:        limit,
 		awaitingHead: list.New(),
@@ -133,6 +135,7 @@
 	if !ok || state != http.StateIdle {
 		return
 	}
+	c.framer.EndRequest()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.transition(responseWritten)
@@ -169,10 +172,10 @@
 	return c
 }
 
-// headOf returns the head of a request as its connection has read it; nil if the connection is unknown.
-func headOf(r *http.Request) *inbound.Head {
+// framerOf returns the framer of a request's connection; nil if the connection is unknown.
+func framerOf(r *http.Request) *inbound.Framer {
 	if c := clientConnOf(r); c != nil {
-		return &c.head
+		return &c.framer
 	}
 	return nil
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -226,6 +226,7 @@
 	s.admin = admin.NewServer(adminBackend{n}, n.log)
 	s.run(func() {
 		limited := newLimitedListener(listener, admin.MaxConnections, metrics.NewRecorder(nil), n.loop.decisions)
+		limited.maxHead = admin.MaxHead
 		if err := s.admin.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error("admin endpoint failed; clients are still served", "err", err)
 		}
