Bound what peers make a process hold by shares of its memory limit

Cause: only buffered bodies were counted. Heads were not: 1,500 fields of 15 kB take 130 kB once parsed and as much in the forwarded copy. The number of connections followed from the descriptors alone. http.Request.Write takes 32 KiB for each body that it streams, and a buffered request was encoded into a second copy of its body. Buffers grew past what was reserved for them.

Change: one table (memory.go) divides the limit among connections of either side, heads, and bodies of either direction. connectionLimits takes the smaller of what descriptors and memory allow. The bytes and lines of a head are reserved while it arrives and until the response; a head that finds no memory gets 503 and a close, unparsed. A body is written beside its head and not through a copy (request_writing.go); buffers have the size that was reserved.

TestForwardedRequestIsUnchanged checks the new writer with a short and a long body in place of the encoded form.

--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -34,6 +34,7 @@
 	adminAddress string // address of the admin endpoint; none by default
 	discovery    string
 	seed         string
+	memoryMB     int
 	sockets      int
 	backend      string
 	objectiveMS  int
@@ -47,7 +48,7 @@
 		control = fmt.Sprintf(`"control":%q,`, c.adminAddress)
 	}
 	return fmt.Sprintf(`{"name":"n0",%s"listen":%q,"discovery":%q,"seed":%q,
- "limits":{"cores":1,"memory_mb":192,"sockets":%d},
+ "limits":{"cores":1,"memory_mb":%d,"sockets":%d},
  "known":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"health":"in_service"}]},
  "settings":{"limits":{"conn-idle-ms":30000,"connect-timeout-ms":75},
   "lanes":[{"name":"a","target-ms":%d,"deadline-ms":%d,"worth":1}]}}`,
@@ -55,6 +56,7 @@
 		cmp.Or(c.listen, "127.0.0.1:0"),
 		cmp.Or(c.discovery, "127.0.0.1:1"),
 		cmp.Or(c.seed, "8c1f30d27a5be964"),
+		cmp.Or(c.memoryMB, 192),
 		cmp.Or(c.sockets, 1024),
 		cmp.Or(c.backend, "127.0.0.1:1"),
 		cmp.Or(c.objectiveMS, 100),
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -61,7 +61,7 @@
 // Buffer reads up to size bytes and reports whether they are the complete body. The argument length is the
 // Content-Length of the body, or -1 if it is unknown. The bytes that Buffer returns do not count as consumed.
 func (b *Body) Buffer(size int, length int64) (buffered []byte, complete bool, err error) {
-	buffered, err = io.ReadAll(io.LimitReader(b, int64(size)))
+	buffered, err = b.readUpTo(size, length)
 	if err != nil {
 		return buffered, false, err
 	}
@@ -78,6 +78,19 @@
 	return buffered, false, nil
 }
 
+// readUpTo reads up to size bytes. If a length is known, it allocates no more than is needed.
+func (b *Body) readUpTo(size int, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(b, int64(size)))
+	}
+	buffered := make([]byte, min(int64(size), length))
+	n, err := io.ReadFull(b, buffered)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && b.Failure() == nil { // the body is complete
+		err = nil
+	}
+	return buffered[:n], err
+}
+
 // Read implements io.Reader. Each read has the deadline that nextDeadline returns.
 func (b *Body) Read(p []byte) (int, error) {
 	b.mu.Lock()
--- a/internal/inbound/framer.go
+++ b/internal/inbound/framer.go
@@ -46,6 +46,8 @@
 	head      []byte    // from the first byte of the head on, until it has been passed
 	passed    int       // number of bytes of head that have been passed
 	held      []byte    // bytes that have arrived after head, and have not been passed yet
+	headSize  int       // of the head so far, or of the one that was passed last
+	headLines int
 
 	// Of the request whose head was completed last.
 	framing    framing
@@ -110,6 +112,7 @@
 	f.phase = phaseHead
 	f.background = false
 	f.startedAt = time.Now()
+	f.headSize, f.headLines = 0, 0
 	f.takeHead()
 }
 
@@ -137,12 +140,17 @@
 	if len(f.head) == 0 {
 		f.startedAt = time.Now()
 	}
-	searched := max(0, len(f.head)-len("\n\r")) // the empty line at the end may span two reads
+	before := len(f.head)
 	f.head = append(f.head, f.held...)
 	f.held = nil
-	if end := headEnd(f.head, searched); end >= 0 {
+	end := headEnd(f.head, max(0, before-len("\n\r"))) // the empty line at the end may span two reads
+	if end >= 0 {
 		f.held = bytes.Clone(f.head[end:])
 		f.head = f.head[:end]
+	}
+	f.headSize = len(f.head)
+	f.headLines += bytes.Count(f.head[min(before, len(f.head)):], []byte("\n"))
+	if end >= 0 {
 		f.framing = parseFraming(f.head)
 		f.remaining = f.framing.length
 		f.afterLine = true
@@ -256,6 +264,13 @@
 	return time.Since(f.startedAt)
 }
 
+// HeadSize returns the number of bytes and of lines of the head of the current request, as far as it has arrived.
+func (f *Framer) HeadSize() (size, lines int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.headSize, f.headLines
+}
+
 // endsClearly reports whether the head that was completed last leaves no doubt where the body ends.
 func (f *Framer) endsClearly() bool {
 	f.mu.Lock()
--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -98,7 +98,7 @@
 	cfg.Sockets = 2 * baseReservedDescriptors // the minimum that the configuration allows
 	n := start(t, cfg)
 	held := make(chan bool)
-	limit := cfg.clientConnectionLimit(cfg.Sockets)
+	limit := cfg.connectionLimits(1).clients
 	for i := range limit {
 		go func() {
 			resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", fmt.Sprint(i), "x"))
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -3,14 +3,10 @@
 package node
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"keelusher/internal/inbound"
@@ -181,7 +177,7 @@
 		return p.roundTripStreamed(c, att)
 	}
 	p.setClientDeadline(c, p.clock.at(att.request.deadline))
-	if _, err := c.Write(p.encodeRequest(att)); err != nil {
+	if err := writeBuffered(c, p.encodeRequest(att)); err != nil {
 		p.close(c)
 		(<-c.replies).discard() // an early response, or the error due to the close
 		return reply{}, fmt.Errorf("write to endpoint %s: %w", att.endpoint.id, err)
@@ -218,45 +214,6 @@
 	return received, nil
 }
 
-// writeStreamed writes a request while its body is still arriving from the client.
-func (p *pool) writeStreamed(c *serverConn, att *attempt) error {
-	body := io.MultiReader(bytes.NewReader(att.request.body), att.request.bodyStream)
-	w := &streamWriter{serverConn: c, timeout: att.timeout}
-	buffered := bufio.NewWriterSize(w, p.buffers.chunkSize)
-	err := p.outgoingRequest(att, body).Write(buffered)
-	if err == nil {
-		err = buffered.Flush()
-	}
-	if w.err != nil { // http.Request.Write hides an error of its writer from errors.Is
-		return w.err
-	}
-	return err
-}
-
-// streamWriter writes a request to a server, with a timeout for each write, until a response arrives.
-type streamWriter struct {
-	*serverConn
-	timeout time.Duration
-	err     error // of the write that failed
-}
-
-// Write implements io.Writer. It returns errEarlyResponse if a response has arrived, or if the write fails for another
-// reason than its timeout: a server that responds early may close the connection.
-func (w *streamWriter) Write(b []byte) (int, error) {
-	if len(w.replies) > 0 {
-		w.err = errEarlyResponse
-		return 0, w.err
-	}
-	// The error is ignored: it occurs only on a closed connection, where the write fails too.
-	_ = w.SetWriteDeadline(time.Now().Add(w.timeout))
-	n, err := w.serverConn.Write(b)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		err = errEarlyResponse // a response that the server sent before the connection broke may still be read
-	}
-	w.err = err
-	return n, err
-}
-
 // checkSend returns the guard's verdict on whether an attempt may be written now. After the process was suspended, it
 // first waits until the buffered updates of the endpoint list have been read, for maxSendHold at most.
 func (p *pool) checkSend(att *attempt) guard.Verdict {
@@ -291,42 +248,3 @@
 		RemovalGrace:   p.removalGrace,
 	})
 }
-
-// encodeRequest returns a fully buffered request in the form in which it is written to the endpoint.
-func (p *pool) encodeRequest(att *attempt) []byte {
-	var body io.Reader
-	if len(att.request.body) > 0 {
-		body = bytes.NewReader(att.request.body)
-	}
-	var encoded bytes.Buffer
-	// The error is ignored: neither writing to the buffer nor reading the body can fail.
-	_ = p.outgoingRequest(att, body).Write(&encoded)
-	return encoded.Bytes()
-}
-
-// outgoingRequest returns the client's request with the remaining budget in X-Budget. The budget of a streamed request
-// starts with its last byte.
-func (p *pool) outgoingRequest(att *attempt, body io.Reader) *http.Request {
-	incoming := att.request
-	header := incoming.header.Clone()
-	remaining := att.deadline - p.clock.now()
-	if incoming.bodyStream != nil {
-		remaining = min(att.timeout, incoming.budget)
-	}
-	att.budgetSent = max(remaining, time.Microsecond)
-	header.Set("X-Budget", strconv.FormatInt(att.budgetSent.Microseconds(), 10)+"u")
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // otherwise Request.Write adds a default value
-	}
-	outgoing := &http.Request{
-		Method:        incoming.method,
-		URL:           incoming.url,
-		Host:          incoming.host,
-		Header:        header,
-		ContentLength: incoming.contentLength,
-	}
-	if body != nil {
-		outgoing.Body = io.NopCloser(body)
-	}
-	return outgoing
-}
--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -171,6 +171,7 @@
 		closeOnce(r.settled)
 		r.changed.Wait()
 	}
+	r.grow(len(r.piece))
 	r.buffer = append(r.buffer, r.piece...)
 	r.bytesRead += len(r.piece)
 	r.piece = r.piece[:0]
@@ -182,6 +183,18 @@
 	return err == nil && !r.stopped
 }
 
+// grow makes room for more bytes in the buffer, and for no more than its limit unless they need it. The caller holds
+// the lock.
+func (r *bodyReader) grow(more int) {
+	needed := len(r.buffer) + more
+	if needed <= cap(r.buffer) {
+		return
+	}
+	grown := make([]byte, len(r.buffer), max(needed, min(2*needed, r.limit)))
+	copy(grown, r.buffer)
+	r.buffer = grown
+}
+
 // closeOnce closes a channel that one goroutine closes, if it is open.
 func closeOnce(c chan struct{}) {
 	select {
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -18,8 +18,15 @@
 const (
 	lingerTimeout  = 250 * time.Millisecond // wait for the client to close its end of a connection with unread bytes
 	maxLingerBytes = 256 << 10              // limit on the bytes that are discarded within lingerTimeout
+
+	refusalWriteTimeout = 100 * time.Millisecond // for a short response to a client whose connection is new or at rest
 )
 
+// headRefusal is the response to a request for whose head no memory is left: nothing of it was executed.
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+var errNoMemoryForHead = errors.New("no memory is left for a head of this size")
+
 // errReadBeyondRequest is the error of a read that asks for bytes of the next request before the response to the
 // previous one has been written.
 var errReadBeyondRequest = errors.New("the HTTP server reads beyond the end of a request")
@@ -40,10 +47,11 @@
 	list           *list.List    // the list of the listener that holds element
 	element        *list.Element // nil if the connection cannot be evicted
 	listedSince    time.Time
-	reused         bool      // a response has been written to the connection before
-	idleSince      time.Time // when its last response was written; zero if it had none
-	closeRequested bool      // the reader has to close the connection unless a request has begun to arrive
-	readDeadline   time.Time // of the HTTP server's read; zero if it has none
+	reused         bool              // a response has been written to the connection before
+	idleSince      time.Time         // when its last response was written; zero if it had none
+	headMemory     memoryReservation // for the head of the current request
+	closeRequested bool              // the reader has to close the connection unless a request has begun to arrive
+	readDeadline   time.Time         // of the HTTP server's read; zero if it has none
 }
 
 // newClientConn wraps an accepted connection. The caller holds the listener's lock.
@@ -53,6 +61,7 @@
 		listener:   l,
 		acceptedAt: acceptedAt,
 		framer:     inbound.Framer{MaxHead: l.maxHead},
+		headMemory: memoryReservation{budget: l.heads},
 		state:      clientConnIdle,
 	}
 	c.enterList(l.awaitingHead)
@@ -99,6 +108,7 @@
 		return net.ErrClosed
 	}
 	c.transition(closeEnded)
+	c.headMemory.release()
 	c.listener.admitted--
 	c.listener.changed.Signal()
 	return c.Conn.Close()
@@ -169,12 +179,33 @@
 				continue
 			}
 		}
-		if n = c.framer.Receive(b, n); n > 0 || err != nil {
+		n = c.framer.Receive(b, n)
+		if !c.reserveHead() {
+			return 0, c.refuseHead()
+		}
+		if n > 0 || err != nil {
 			return n, err
 		}
 	}
 }
 
+// reserveHead reserves the memory for the head that is arriving. It returns false if too little is left.
+func (c *clientConn) reserveHead() bool {
+	size, lines := c.framer.HeadSize()
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.state == clientConnClosed || c.headMemory.growTo(headMemory(size, lines))
+}
+
+// refuseHead answers a request for whose head no memory is left, before the HTTP server has read any of it, and returns
+// the error that makes the server close the connection. A write error is ignored: the connection is closed in any case.
+func (c *clientConn) refuseHead() error {
+	c.listener.metrics.CountInvalidRequest(errNoMemoryForHead.Error())
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_, _ = io.WriteString(c.Conn, headRefusal)
+	return io.EOF
+}
+
 // handleReadTimeout decides how a read ends whose deadline has passed: with bytes that were waiting in the kernel, with
 // the timeout, or with a retry. Bytes may be waiting because package net checks the deadline before it calls read(2). A
 // connection without a complete request is closed only if no bytes are waiting. The argument requestComplete says that
--- a/internal/node/client_listener.go
+++ b/internal/node/client_listener.go
@@ -25,6 +25,7 @@
 	metrics   *metrics.Recorder
 	decisions *metrics.Decisions
 	maxHead   int           // limit of the HTTP server on the size of a request's head
+	heads     *memoryBudget // for heads of more than the usual size
 	closing   chan struct{} // closed by Close
 	aborting  atomic.Bool   // the node stops: connections are closed without lingering
 
@@ -44,6 +45,7 @@
 		metrics:      m,
 		decisions:    d,
 		maxHead:      inbound.MaxHead,
+		heads:        newMemoryBudget(limit * maxHeadMemory),
 		closing:      make(chan struct{}),
 		limit:        limit,
 		awaitingHead: list.New(),
@@ -138,6 +140,7 @@
 	c.framer.EndRequest()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.headMemory.release()
 	c.transition(responseWritten)
 }
 
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -130,7 +130,7 @@
 	eventually(t, "the old process serves", func() bool { return served(oldProcess) > 20 })
 	newProcess := startProcess(t, cfg)
 	eventually(t, "the old process knows that its successor serves", oldProcess.handover.SuccessorServes)
-	half := cfg.clientConnectionLimit(cfg.Sockets / 2)
+	half := cfg.connectionLimits(2).clients
 	if oldProcess.inbound.limit != half || newProcess.inbound.limit != half {
 		t.Errorf("connection limits are %d and %d, want %d each", oldProcess.inbound.limit, newProcess.inbound.limit, half)
 	}
@@ -140,7 +140,7 @@
 	eventually(t, "the new process has the whole connection limit", func() bool {
 		newProcess.inbound.mu.Lock()
 		defer newProcess.inbound.mu.Unlock()
-		return newProcess.inbound.limit == cfg.clientConnectionLimit(cfg.Sockets)
+		return newProcess.inbound.limit == cfg.connectionLimits(1).clients
 	})
 	third := startProcess(t, cfg) // a successor can itself be replaced
 	newProcess.stopAndWait(t)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,4 +1,5 @@
-// The limits on the file descriptors of a node, and how the processes of a hand-over share the limits.
+// The limits on the connections of a node, from its file descriptors and its memory, and how the processes of a
+// hand-over share the limits.
 
 package node
 
@@ -23,9 +24,22 @@
 	return baseReservedDescriptors
 }
 
-// clientConnectionLimit returns how many of the given descriptors are for clients' connections.
-func (c *Config) clientConnectionLimit(descriptors int) int {
-	return (descriptors - c.reservedDescriptors()) * 5 / 8
+// connectionLimits are the limits on the connections of one process.
+type connectionLimits struct{ clients, servers int }
+
+// connectionLimits returns the limits of each of several processes that share the limits of the node in equal parts.
+// Descriptors that neither the clients nor the servers can use for lack of memory stay unused.
+func (c *Config) connectionLimits(processes int) connectionLimits {
+	descriptors := c.Sockets / processes
+	memory := memoryBytes(c.MemoryMB) / processes
+	clients := (descriptors - c.reservedDescriptors()) * 5 / 8
+	servers := descriptors - c.reservedDescriptors() - clients
+	clients = min(clients, memory/clientConnectionMemoryDivisor/clientConnectionMemory)
+	servers = min(servers, memory/serverConnectionMemoryDivisor/serverConnectionMemory)
+	return connectionLimits{
+		clients: max(minConnections, clients),
+		servers: max(minConnections, servers),
+	}
 }
 
 // adjustProcessCount adds change to the number of other processes that share the limits, and adjusts this process's
@@ -36,12 +50,10 @@
 	before := 1 + n.otherProcesses
 	n.otherProcesses += change
 	processes := 1 + n.otherProcesses
-	n.buffers.requests.rescale(before, processes)
-	n.buffers.responses.rescale(before, processes)
-	descriptors := n.cfg.Sockets / processes
-	clientConnections := max(minConnections, n.cfg.clientConnectionLimit(descriptors))
-	n.inbound.setLimit(clientConnections)
-	n.pool.setLimit(max(minConnections, descriptors-n.cfg.reservedDescriptors()-clientConnections))
+	n.buffers.rescale(before, processes)
+	connections := n.cfg.connectionLimits(processes)
+	n.inbound.setLimit(connections.clients)
+	n.pool.setLimit(connections.servers)
 	if n.cfg.ProcessesChanged != nil {
 		n.cfg.ProcessesChanged(processes)
 	}
--- a/internal/node/memory_reservation_test.go
+++ b/internal/node/memory_reservation_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -109,3 +111,63 @@
 		t.Errorf("%d bytes of the memory budget are still reserved", available-left)
 	}
 }
+
+// Guards against heads of many fields that take memory without limit: a request whose head finds no memory is rejected,
+// one with a usual head is served, and all memory is released.
+func TestLongHeadsNeedMemory(t *testing.T) {
+	b := newBackend(t, serveOK)
+	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	memory := int64(headMemory(8000, 300))
+	n := start(t, cfg, func(n *Node) { n.buffers.heads.available.Store(memory) })
+	lines := slices.Repeat([]string{"X-A: b"}, 200)
+	partial := requestText("safe", "partial", "", lines...)
+	held := dialNode(t, n)
+	write(t, held, partial[:len(partial)-2])
+	eventually(t, "the half head takes memory", func() bool { return n.buffers.heads.available.Load() < memory })
+	for name, tc := range map[string]struct {
+		text   string
+		status int
+	}{
+		"another long head": {requestText("safe", "long", "", lines...), http.StatusServiceUnavailable},
+		"a usual head":      {requestText("safe", "usual", ""), http.StatusOK},
+	} {
+		c := dialNode(t, n)
+		write(t, c, tc.text)
+		if status := readStatusFrom(bufio.NewReader(c)); status != tc.status {
+			t.Errorf("%s got status %d, want %d", name, status, tc.status)
+		}
+	}
+	write(t, held, "\r\n")
+	if status := readStatusFrom(bufio.NewReader(held)); status != http.StatusOK {
+		t.Errorf("the request whose head took memory got status %d, want 200", status)
+	}
+	eventually(t, "all memory is released", func() bool { return n.buffers.heads.available.Load() == memory })
+}
+
+// Guards against shares that add up to more than the memory limit: connections, heads and bodies at their limits must
+// leave room for the runtime, whatever the limits of the node, also while two processes share them.
+func TestSharesFitIntoTheMemoryLimit(t *testing.T) {
+	const largestShare = 2.0 / 3
+	for _, memoryMB := range []int{32, 64, 192, 2048} {
+		for _, sockets := range []int{256, 1024, 4096} {
+			for processes := 1; processes <= 2; processes++ {
+				cfg := Config{MemoryMB: memoryMB, Sockets: sockets}
+				connections := cfg.connectionLimits(processes)
+				b := newBuffers(memoryMB, connections.clients)
+				b.rescale(1, processes)
+				total := connections.clients*clientConnectionMemory + connections.servers*serverConnectionMemory +
+					int(b.heads.available.Load()+b.requests.available.Load()+b.responses.available.Load())
+				limit := float64(memoryMB<<20) / float64(processes)
+				if float64(total) > largestShare*limit {
+					t.Errorf("%d MB, %d descriptors, %d processes: %d bytes in all, want at most %.0f",
+						memoryMB, sockets, processes, total, largestShare*limit)
+				}
+				if required := sockets / 3 / processes; sockets <= 1024 && connections.clients < required {
+					t.Errorf("%d MB, %d descriptors, %d processes: %d connections to clients, want at least %d",
+						memoryMB, sockets, processes, connections.clients, required)
+				}
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,17 +54,17 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = defaultDescriptorLimit
 	}
-	clientConnections := cfg.clientConnectionLimit(cfg.Sockets)
+	connections := cfg.connectionLimits(1)
 	n := &Node{
 		cfg:                    cfg,
 		log:                    logger,
 		loop:                   newEventLoop(newClock(), logger, balancer, metrics.NewRecorder(cfg.Settings.Classes)),
-		buffers:                newBuffers(cfg.MemoryMB, clientConnections),
+		buffers:                newBuffers(cfg.MemoryMB, connections.clients),
 		phaseChanges:           make(chan struct{}, 1),
 		membershipPhaseChanges: make(chan struct{}, 1),
 	}
 	n.lifecycle = lifecycle.New(n.phaseChanged)
-	n.pool = newPool(cfg, cfg.Sockets-cfg.reservedDescriptors()-clientConnections, n.loop, n.buffers)
+	n.pool = newPool(cfg, connections.servers, n.loop, n.buffers)
 	n.discovery = newDiscovery(cfg, n.loop.clock, logger, n.deliverWatchEvent)
 	n.loop.sender = n.pool
 	n.loop.watchEndpoints = n.discovery.requestWatch
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -251,18 +252,22 @@
 	p := testPool(t)
 	att := testAttempt(p, "127.0.0.1:1", 400*time.Millisecond)
 	att.request.url = &url.URL{Path: "/a/b c", RawPath: "/a%2Fb%20c", RawQuery: "x=%20&y"}
-	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(p.encodeRequest(att)))))
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, _ := io.ReadAll(r.Body)
-	if r.RequestURI != "/a%2Fb%20c?x=%20&y" || r.Host != "service.internal" || string(body) != "payload" ||
-		r.Header.Get("X-Call-Id") != "1" || r.Header.Get("Idempotency-Key") != "k" {
-		t.Errorf("forwarded target %s, host %s, body %q, headers %v, want those of the client",
-			r.RequestURI, r.Host, body, r.Header)
-	}
-	if left, err := inbound.ParseBudget(r.Header.Get("X-Budget")); err != nil || left <= 0 || left > 400*time.Millisecond {
-		t.Errorf("X-Budget %v, error %v; want above 0 and at most 400 ms", left, err)
+	for _, sent := range []string{"payload", strings.Repeat("x", maxCopiedBody+1)} {
+		att.request.body, att.request.contentLength = []byte(sent), int64(len(sent))
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(bytes.Join(p.encodeRequest(att), nil))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(r.Body)
+		if r.RequestURI != "/a%2Fb%20c?x=%20&y" || r.Host != "service.internal" || string(body) != sent ||
+			r.Header.Get("X-Call-Id") != "1" || r.Header.Get("Idempotency-Key") != "k" {
+			t.Errorf("forwarded target %s, host %s, body %q, headers %v, want those of the client",
+				r.RequestURI, r.Host, body, r.Header)
+		}
+		left, err := inbound.ParseBudget(r.Header.Get("X-Budget"))
+		if err != nil || left <= 0 || left > 400*time.Millisecond {
+			t.Errorf("X-Budget %v, error %v; want above 0 and at most 400 ms", left, err)
+		}
 	}
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -57,7 +57,8 @@
 	firstList := time.AfterFunc(firstListTimeout, func() { n.lifecycle.Transition(lifecycle.ListReceived) })
 	defer firstList.Stop()
 
-	n.inbound = newLimitedListener(listener, n.cfg.clientConnectionLimit(n.cfg.Sockets), n.loop.metrics, n.loop.decisions)
+	n.inbound = newLimitedListener(listener, n.cfg.connectionLimits(1).clients, n.loop.metrics, n.loop.decisions)
+	n.inbound.heads = n.buffers.heads
 	n.handover = n.newHandoverServer(listener.(syscall.Conn))
 	s.clients = n.newClientServer(suspension)
 	if previous == nil {
--- a/internal/node/server_response.go
+++ b/internal/node/server_response.go
@@ -60,8 +60,9 @@
 		memory.release()
 		return reply{httpResponse: httpResponse, bodyStream: stream}
 	}
-	body, err := io.ReadAll(httpResponse.Body)
-	return c.bufferedReply(stream, body, memory, err)
+	body := make([]byte, size)
+	n, err := io.ReadFull(httpResponse.Body, body)
+	return c.bufferedReply(stream, body[:n], memory, err)
 }
 
 // readUnknownLength reads the body of a response without a Content-Length. It buffers the body if that ends soon, and
