Judge the write of a response by what its client acknowledges, not by a deadline for each piece

Cause: the handler set a write deadline of 5 s for each piece of a response. That of the last piece still stood when net/http wrote the end. A full socket becomes writable only when a third of its buffer is free, which takes a client that reads slowly longer than 5 s.

Change: clientConn.Write owns the time of its writes.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -52,6 +52,7 @@
 	headMemory     memoryReservation // for the head of the current request
 	closeRequested bool              // the reader has to close the connection unless a request has begun to arrive
 	readDeadline   time.Time         // of the HTTP server's read; zero if it has none
+	writeDeadline  time.Time         // of the HTTP server's writes; zero if it has none
 }
 
 // newClientConn wraps an accepted connection. The caller holds the listener's lock.
@@ -201,7 +202,7 @@
 // the error that makes the server close the connection. A write error is ignored: the connection is closed in any case.
 func (c *clientConn) refuseHead() error {
 	c.listener.metrics.CountInvalidRequest(errNoMemoryForHead.Error())
-	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, _ = io.WriteString(c.Conn, headRefusal)
 	return io.EOF
 }
--- a/internal/node/client_handler.go
+++ b/internal/node/client_handler.go
@@ -23,7 +23,6 @@
 	headTimeout          = 2500 * time.Millisecond // from the connect
 	firstBodyByteTimeout = 2 * time.Second
 	headAndBodyTimeout   = 2800 * time.Millisecond // for a head and the first bytes of a body, from the connect
-	responseWriteTimeout = 5 * time.Second         // for the next bytes of a response
 	clientIdleTimeout    = 2 * time.Second         // between two requests on a connection
 )
 
@@ -157,7 +156,6 @@
 func (h *clientHandler) writeResponse(w http.ResponseWriter, request *clientRequest, final response) {
 	controller := http.NewResponseController(w)
 	defer final.bodyMemory.release()
-	_ = controller.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	h.beginResponse(w)
 	bodyUnread := request.bodyStream != nil && !request.bodyStream.Stop()
 	if bodyUnread {
@@ -212,8 +210,6 @@
 
 // writeChunk writes a part of a streamed response to the client and flushes it.
 func writeChunk(w io.Writer, controller *http.ResponseController, chunk []byte) error {
-	// The error is ignored: the call fails only on a closed connection, where the write fails too.
-	_ = controller.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	_, err := w.Write(chunk)
 	return errors.Join(err, controller.Flush())
 }
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -83,3 +83,18 @@
 	})
 	return ago
 }
+
+// unacknowledgedBytes returns how many bytes of what was written to a connection the peer's kernel has not
+// acknowledged; 0 if unknown.
+func unacknowledgedBytes(c net.Conn) (n int) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { // fails on a connection that the node has closed
+		if queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	return n
+}
