Let the concurrency limit allow an attempt whatever happens to the endpoint list

Cause: the limit is adjusted only when an attempt ends. shrinkWithList multiplied it without a lower bound; less the random offset by which a falling limit is rounded, it allowed no attempt, so nothing raised it again. A list with only the endpoints of an evacuated zone took it to 0 in the same way, and no probe could end the evacuation.

Change: minLimit, one attempt, holds where the limit is read and wherever it falls. A limit without any share of an endpoint begins anew with the first share.

Evidence: TestLimitAllowsAnAttemptAfterTheListShrinks on the code before: no attempt with idle endpoints, limit 0.316, offset 0.9; TestLimitAllowsAnAttemptAtTheLastZone: no attempt. Both pass, the limit is back at its initial value after 20 responses.

--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -20,6 +20,10 @@
 	usedLimitShare          = 0.8  // share of the limit that must be in use for it to grow
 	latencySampleBase       = 16   // the latency ratio is averaged over this many samples plus the limit
 	latencySampleWeight     = 2    // a new sample has this weight, divided by that number of samples
+
+	// minLimit is the least number of attempts that a limit allows. The limit is adjusted when an attempt ends, so one
+	// that allowed none would stay as it is.
+	minLimit = 1
 )
 
 // concurrencyLimit is an adaptive limit on this replica's attempts in flight at an endpoint subset. It grows
@@ -63,7 +67,7 @@
 
 // reached reports whether no further attempt may start at this number of attempts in flight.
 func (l *concurrencyLimit) reached(inFlight float64) bool {
-	return inFlight >= math.Ceil(l.size-l.roundingOffset)
+	return inFlight >= max(minLimit, math.Ceil(l.size-l.roundingOffset))
 }
 
 // setEndpoints sets the number of endpoints of the subset, and that number divided by the number of
@@ -72,24 +76,37 @@
 	l.fairShare = fairShare
 	l.maxEndpoints = max(l.maxEndpoints, count)
 	if l.size == 0 {
-		l.baselineEndpoints = fairShare
-		l.size = l.initial()
+		l.begin(fairShare)
 	}
 }
 
+// begin sets the limit to its initial value for a fair share.
+func (l *concurrencyLimit) begin(fairShare float64) {
+	l.baselineEndpoints = fairShare
+	l.size = l.initial()
+}
+
 // shrinkWithList lowers the limit in proportion when the number of endpoints falls, so that the load of
-// removed endpoints does not overload the remaining ones.
+// removed endpoints does not overload the remaining ones. Without endpoints there is no limit to keep: the next
+// ones begin with the initial one.
 func (l *concurrencyLimit) shrinkWithList(before, after float64) {
-	if after < before {
-		l.size *= after / before
+	switch {
+	case after >= before:
+	case after > 0:
+		l.size = max(minLimit, l.size*after/before)
+	default:
+		l.size = 0
 	}
 }
 
 // followFairShare sets the fair share and multiplies the limit by the ratio of the new fair share to the old
 // one, raised to the exponent.
 func (l *concurrencyLimit) followFairShare(fairShare, exponent float64) {
-	if l.fairShare > 0 {
-		l.size = max(1, l.size*math.Pow(fairShare/l.fairShare, exponent))
+	switch {
+	case l.size == 0: // there was no endpoint with a share
+		l.begin(fairShare)
+	case l.fairShare > 0:
+		l.size = max(minLimit, l.size*math.Pow(fairShare/l.fairShare, exponent))
 		l.baselineEndpoints = min(l.baselineEndpoints, fairShare)
 	}
 	l.fairShare = fairShare
@@ -135,5 +152,5 @@
 	// A longer list does not prove that the tiers below have grown too, so the baseline grows only with
 	// responses in time.
 	l.baselineEndpoints = min(l.baselineEndpoints, l.fairShare)
-	l.size = max(l.size, 1, minLimitShare*l.perEndpoint*l.baselineEndpoints)
+	l.size = max(l.size, minLimit, minLimitShare*l.perEndpoint*l.baselineEndpoints)
 }
--- a/policy/concurrency_test.go
+++ b/policy/concurrency_test.go
@@ -206,3 +206,64 @@
 		t.Error("a limit of 1.5 that does not fall refused a second attempt, want it rounded up")
 	}
 }
+
+// A limit that allows no attempt is never adjusted again, because it is adjusted when an attempt ends. After a slow
+// time the limit is near 1 and rounded by an offset; when half of the endpoints are then replaced, it must still allow
+// an attempt, and grow with the responses.
+func TestLimitAllowsAnAttemptAfterTheListShrinks(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Replicas = 30 })
+	b.Handle(0, EndpointUpdate{Snapshot: true, Endpoints: testEndpoints(8)})
+	limit := &b.subsets[0].limit
+	initial := limit.size
+	limit.size, limit.roundingOffset = 1, 0.9
+	now := msec
+	for first := 0; first < 8; first += 2 { // two leave, and two others join
+		b.Handle(now, EndpointUpdate{Snapshot: true, Endpoints: testEndpoints(8 + first)[first+2:]})
+		b.Handle(now, EndpointUpdate{Snapshot: true, Endpoints: testEndpoints(10 + first)[first+2:]})
+	}
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		sent := sendAttempts(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + 1500*msec}))
+		if len(sent) == 0 {
+			t.Fatalf("request %d: no attempt with idle endpoints, limit %v, offset %v", i, limit.size, limit.roundingOffset)
+		}
+		now += 50 * msec
+		endAttempt(b, now, id, sent[0], Success)
+	}
+	if limit.size < initial {
+		t.Errorf("limit %v after responses in time, want its initial %v at least", limit.size, initial)
+	}
+}
+
+// When only the endpoints of an evacuated zone are left in the list, no request goes elsewhere. The limit must allow an
+// attempt, whose response ends the evacuation, and grow from its initial value then.
+func TestLimitAllowsAnAttemptAtTheLastZone(t *testing.T) {
+	b := newBalancer(t, nil)
+	all := testEndpoints(8)
+	for i := range all {
+		all[i].Zone = []string{"a", "b"}[i%2]
+	}
+	b.Handle(0, EndpointUpdate{Snapshot: true, Endpoints: all})
+	b.Handle(msec, ZoneEvacuation{Zone: "b", Evacuate: true})
+	b.zones.get("b").evacuatedByOperator = false // as if the node had found the zone unresponsive
+	var left []Endpoint
+	for _, ep := range all {
+		if ep.Zone == "b" {
+			left = append(left, ep)
+		}
+	}
+	b.Handle(2*msec, EndpointUpdate{Snapshot: true, Endpoints: left})
+	if share := b.subsets[0].limit.fairShare; share != 0 {
+		t.Fatalf("fair share %v with no endpoint but those of an evacuated zone, want 0", share)
+	}
+	sent := sendAttempts(b.Handle(3*msec, Request{ID: "probe", Class: "get", Deadline: 1500 * msec}))
+	if len(sent) == 0 {
+		t.Fatal("no attempt may start at the only zone that is left")
+	}
+	endAttempt(b, 20*msec, "probe", sent[0], Success)
+	limit := b.subsets[0].limit
+	if state := b.zones.get("b").state; state == ZoneEvacuated || limit.size < initialLimitPerEndpoint*2 {
+		t.Errorf("after a response the zone has state %v and the limit is %v, want it back, and the initial limit of 4 endpoints",
+			state, limit.size)
+	}
+}
