Refuse a request whose client may have left behind unread bytes

Cause: the end of a stream waits behind what its client has sent. With a full receive window the node does not get it, and poll(2) says that the client is connected.

Change: before an attempt the client's state counts as unknown if over 32 KiB behind the request are unread. The window has 64 KiB at least, so a close behind less is seen. Such a request is refused with 503, also if its client is still there: clients send one request at a time, and nothing of the request has run.

Evidence: TestDisconnectBehindUnreadBytes on the code before: one request at the server after its client had left, and 200 for the one that stays; it passes now.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -225,7 +225,7 @@
 			RequestAnswered:   att.request.finished.Load(),
 			EndpointRemoved:   att.endpoint.unavailable.Load(),
 			EndpointListStale: p.staleness.holdSends(),
-			Client:            att.request.connection.clientState(),
+			Client:            att.request.clientState(),
 		}.Verdict()
 		if verdict != guard.EndpointListStale {
 			return verdict
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -19,6 +19,10 @@
 	lingerTimeout  = 250 * time.Millisecond // wait for the client to close its end of a connection with unread bytes
 	maxLingerBytes = 256 << 10              // limit on the bytes that are discarded within lingerTimeout
 
+	// maxUnreadBehind is the number of unread bytes behind a request up to which the end of the stream is sure to have
+	// room in the receive window, which has 64 KiB at least.
+	maxUnreadBehind = 32 << 10
+
 	refusalWriteTimeout = 100 * time.Millisecond // for a short response to a client whose connection is new or at rest
 )
 
@@ -288,6 +292,12 @@
 	return metrics.CloseSlowHead
 }
 
+// closeMayBeHidden reports whether the client may have closed the connection although clientState does not show it: so
+// many bytes behind the current request are unread that the end of the stream need not have found room.
+func (c *clientConn) closeMayBeHidden() bool {
+	return c != nil && unreadBytes(c.Conn) > maxUnreadBehind
+}
+
 // clientState reports whether the client has closed the connection. A client that has shut down only its sending
 // direction cannot be distinguished from one that has closed the connection, and counts as disconnected. The background
 // read of net/http does not suffice: it misses a disconnect while bytes of a body or of a next request are unread, and
--- a/internal/node/client_disconnect_test.go
+++ b/internal/node/client_disconnect_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -156,6 +158,49 @@
 	return there
 }
 
+// Guards against forwarding a queued request whose client has closed its connection with so much unread that the node
+// does not see the close: the end of the stream waits behind what the client has sent. A client that is still there is
+// refused.
+func TestDisconnectBehindUnreadBytes(t *testing.T) {
+	for name, leaves := range map[string]bool{"leaves": true, "stays": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b, release := stalledBackend(t, func(c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", "done") })
+			n, ln := startGatedNode(t, b)
+			filling := ln.fill(t, b)
+			c := ln.dial(t)
+			c.send(t, requestText("unsafe", "left", ""))
+			eventually(t, "the loop has the request", func() bool { return n.hasOpenRequest("left") })
+			if err := c.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			sent, _ := io.WriteString(c, strings.Repeat(requestText("unsafe", "next", ""), 100000)) // until the buffers are full
+			eventually(t, "much is unread", func() bool { return unreadBytes(c.node.TCPConn) > maxUnreadBehind })
+			if leaves {
+				c.disconnect()
+			}
+			time.Sleep(100 * time.Millisecond)
+			if c.node.disconnected() {
+				t.Fatalf("the node sees the close behind %d bytes, want it hidden", sent)
+			}
+			release()
+			for _, c := range filling {
+				if status := c.readStatus(); status != http.StatusOK {
+					t.Errorf("a request of a connected client got status %d, want 200", status)
+				}
+			}
+			if status := c.readStatus(); !leaves && status != http.StatusServiceUnavailable {
+				t.Errorf("the client that stays got status %d, want 503", status)
+			}
+			c.disconnect()
+			eventually(t, "no request is left", n.idle)
+			if got := b.requestsWithID("left") + b.requestsWithID("next"); got != 0 {
+				t.Errorf("the server got %d requests from behind unread bytes, want none", got)
+			}
+		})
+	}
+}
+
 // Guards against a retry of a request whose client has disconnected before the server rejected the first attempt.
 func TestDisconnectBeforeRetry(t *testing.T) {
 	for name, kind := range disconnectKinds {
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -86,13 +86,19 @@
 
 // unacknowledgedBytes returns how many bytes of what was written to a connection the peer's kernel has not
 // acknowledged; 0 if unknown.
-func unacknowledgedBytes(c net.Conn) (n int) {
+func unacknowledgedBytes(c net.Conn) int { return queuedBytes(c, unix.TIOCOUTQ) }
+
+// unreadBytes returns how many received bytes of a connection have not been read; 0 if unknown.
+func unreadBytes(c net.Conn) int { return queuedBytes(c, unix.TIOCINQ) }
+
+// queuedBytes returns the length of a queue of a connection's socket, which the request for ioctl(2) names; 0 if unknown.
+func queuedBytes(c net.Conn, request uint) (n int) {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return 0
 	}
 	_ = raw.Control(func(fd uintptr) { // fails on a connection that the node has closed
-		if queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+		if queued, err := unix.IoctlGetInt(int(fd), request); err == nil {
 			n = queued
 		}
 	})
