Keep the IDs of requests that must not run again, and share them in an upgrade

Cause: an ID was known only while its request was open or had an attempt in flight, and to one process only.

Change: the event loop keeps the IDs of non-idempotent requests that may have run for the longest deadline of a class, in a record bounded by a 64th of the memory limit; the same ID gets 409. The processes of an upgrade send each other such IDs over the connection of the hand-over, at the first attempt of each, and the predecessor what it knows when the successor serves. A predecessor of an older build returns the byte that asks for IDs; it is sent none.

--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -1,11 +1,13 @@
 package handover
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io/fs"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +23,7 @@
 	Phase    lifecycle.Phase // of the predecessor when it handed the listener over
 
 	conn *net.UnixConn
+	ids  atomic.Pointer[idSender] // nil until the predecessor expects IDs
 }
 
 // Connect receives the listener of the process that is serving now. It returns nil if there is no such process: the
@@ -86,18 +89,35 @@
 // the notification, this process must not report to any other process that it serves, because the predecessor's answers
 // to readiness checks depend on the notification.
 func (p *Predecessor) AnnounceServing() {
-	_, _ = p.conn.Write([]byte{1}) // fails only if the predecessor has exited, which AwaitEnd detects
+	_, _ = p.conn.Write([]byte{serving}) // fails only if the predecessor has exited, which Follow detects
 }
 
-// AwaitEnd returns when the predecessor has exited or Close was called. It calls onAcknowledged for each message with
-// which the predecessor acknowledges AnnounceServing.
-func (p *Predecessor) AwaitEnd(onAcknowledged func()) {
-	for message := make([]byte, 1); ; onAcknowledged() {
-		if _, err := p.conn.Read(message); err != nil {
+// Follow returns when the predecessor has exited or Close was called. It calls onAcknowledged when the predecessor
+// acknowledges AnnounceServing, then asks for the IDs of requests that must not run twice, and calls onID for each.
+func (p *Predecessor) Follow(onAcknowledged func(), onID func(id string)) {
+	reader := bufio.NewReader(p.conn)
+	for {
+		message, err := reader.ReadByte()
+		if err != nil {
+			return
+		}
+		switch message {
+		case serving:
+			onAcknowledged()
+			_, _ = p.conn.Write([]byte{idsRequested}) // as in AnnounceServing
+		case idsFollow:
+			sender := startIDSender(p.conn, nil)
+			defer sender.stop()
+			p.ids.Store(sender)
+			defer p.ids.Store(nil)
+			receiveIDs(reader, onID)
 			return
 		}
 	}
 }
 
+// ShareID passes the ID of a request that may run to the predecessor, as long as it runs. It never blocks.
+func (p *Predecessor) ShareID(id string) { p.ids.Load().send(id) }
+
 // Close ends the connection to the predecessor.
 func (p *Predecessor) Close() { closeSocket(p.conn) }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -8,11 +8,15 @@
 //	predecessor to successor: one byte, its phase, with the listening socket
 //	successor to predecessor: one byte, once it serves
 //	predecessor to successor: one byte, to acknowledge that
+//	successor to predecessor: one byte, to ask for the IDs of requests that must not run twice
+//	predecessor to successor: one byte, that they follow
+//	either way: the IDs, each as one byte with its length and its text
 //
 // The connection stays open as long as both processes run. Its end tells either process that the other has exited.
 package handover
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -47,6 +51,11 @@
 	Listener syscall.Conn
 	Phase    func() lifecycle.Phase
 
+	// KnownIDs returns the IDs of requests that may have run in this process and must not run again. OnID is called with
+	// those of the successor. Either may be nil: then no IDs are shared.
+	KnownIDs func() []string
+	OnID     func(id string)
+
 	// OnProcessCountChange is called with +1 or -1 when the number of processes that share the node's limits changes.
 	OnProcessCountChange func(change int)
 }
@@ -54,8 +63,9 @@
 // Server hands the listener over to successors.
 type Server struct {
 	config          Config
-	successorServes atomic.Bool   // a successor accepts clients
-	changed         chan struct{} // holds a token after successorServes has changed
+	successorServes atomic.Bool              // a successor accepts clients
+	changed         chan struct{}            // holds a token after successorServes has changed
+	ids             atomic.Pointer[idSender] // to the successor; nil: it has not asked for IDs
 }
 
 // NewServer returns a server, which Serve runs.
@@ -66,6 +76,9 @@
 // SuccessorServes reports whether a successor accepts clients.
 func (s *Server) SuccessorServes() bool { return s.successorServes.Load() }
 
+// ShareID passes the ID of a request that may run to the successor, if there is one. It never blocks.
+func (s *Server) ShareID(id string) { s.ids.Load().send(id) }
+
 // Changed returns a channel that gets a value after each change of SuccessorServes; changes that were not received yet
 // share one value. It must have a single receiver.
 func (s *Server) Changed() <-chan struct{} { return s.changed }
@@ -185,15 +198,33 @@
 	return errors.Join(sendErr, err)
 }
 
-// followSuccessor acknowledges each announcement that the successor serves, and returns when the connection ends.
+// followSuccessor acknowledges each announcement that the successor serves, shares IDs once the successor asks for them,
+// and returns when the connection ends.
 func (s *Server) followSuccessor(conn *net.UnixConn) {
-	message := make([]byte, 1)
+	reader := bufio.NewReader(conn)
 	for {
-		if _, err := conn.Read(message); err != nil {
+		message, err := reader.ReadByte()
+		if err != nil {
+			return
+		}
+		if message == idsRequested && s.config.KnownIDs != nil && s.config.OnID != nil {
+			s.shareIDs(conn, reader)
 			return
 		}
 		s.setSuccessorServes(true)
 		s.config.Log.Info("the successor serves")
-		_, _ = conn.Write(message) // if it fails, the next read fails too
+		_, _ = conn.Write([]byte{message}) // if it fails, the next read fails too
+	}
+}
+
+// shareIDs exchanges IDs with the successor until the connection ends.
+func (s *Server) shareIDs(conn *net.UnixConn, reader *bufio.Reader) {
+	if _, err := conn.Write([]byte{idsFollow}); err != nil {
+		return
 	}
+	sender := startIDSender(conn, s.config.KnownIDs())
+	defer sender.stop()
+	s.ids.Store(sender)
+	defer s.ids.Store(nil)
+	receiveIDs(reader, s.config.OnID)
 }
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -17,7 +17,7 @@
 
 // MaxRequestID is the limit on the length of a request's ID, in bytes. IDs outlive their requests in timers and in the
 // log.
-const MaxRequestID = 256
+const MaxRequestID = 255
 
 var (
 	errNoRequestID  = errors.New("X-Call-Id is missing")
--- a/internal/node/event_loop.go
+++ b/internal/node/event_loop.go
@@ -65,6 +65,8 @@
 	loggedZones           map[string]policy.ZoneState // by zone, as logZones last saw them
 	zoneLogLimit          *rate.Limiter
 	suppressedZoneLines   int
+	recent                *recentRequests // that must not run again; nil: none are recorded
+	shareID               func(id string) // passes an ID to the other processes of the node; must not block
 	operatorEvacuations   map[string]bool // by zone; set at this node's admin endpoint
 	overrideExpiries      zoneExpiries    // of the zones that overrides evacuate
 
@@ -93,6 +95,7 @@
 		loggedZones:         map[string]policy.ZoneState{},
 		zoneLogLimit:        rate.NewLimiter(zoneLinesPerSecond, 2*zoneLinesPerSecond),
 		operatorEvacuations: map[string]bool{},
+		shareID:             func(string) {},
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	n.loop.sender = n.pool
 	n.loop.watchEndpoints = n.discovery.requestWatch
 	n.loop.staleness = n.discovery.staleness
+	n.loop.recent = newRecentRequests(cfg.Settings, cfg.MemoryMB)
 	n.pool.staleness = n.discovery.staleness
 	return n, nil
 }
--- a/internal/node/request_events.go
+++ b/internal/node/request_events.go
@@ -21,6 +21,10 @@
 		l.rejectDuplicate(request, open)
 		return
 	}
+	if l.recent.contains(request.meta.ID, l.clock.now()) {
+		l.rejectRepeated(request, http.StatusConflict)
+		return
+	}
 	l.openRequests[request.meta.ID] = request
 	if request.bodyStream == nil {
 		l.countRequest(request)
@@ -37,6 +41,11 @@
 	if open.finished.Load() && request.method == http.MethodGet {
 		status = http.StatusServiceUnavailable
 	}
+	l.rejectRepeated(request, status)
+}
+
+// rejectRepeated rejects a request under an ID that the node has had before.
+func (l *eventLoop) rejectRepeated(request *clientRequest, status int) {
 	l.metrics.CountInvalidRequest("X-Call-Id is in use")
 	request.bodyMemory.release()
 	request.responses <- response{status: status}
@@ -98,6 +107,9 @@
 		deadline:    min(now+action.Timeout, request.deadline),
 		retryBefore: action.RetryBefore,
 	}
+	if request.attemptCount == 0 && l.recent.covers(request.meta.Class) {
+		l.shareID(request.meta.ID)
+	}
 	request.attemptCount++
 	request.inFlight++
 	l.attemptsInFlight++
@@ -163,6 +175,9 @@
 	if outcome.notSentReason == guard.ClientDisconnected && l.disconnect(request) {
 		request.responses <- abortResponse
 	}
+	if !outcome.result.NeverRan() && l.recent.covers(request.meta.Class) {
+		l.recent.add(request.meta.ID, l.clock.now())
+	}
 	bodyConsumed := l.checkBodyStream(request)
 	l.passResponse(request, outcome)
 	l.handle(policy.AttemptEnded{
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -246,7 +246,7 @@
 	r := a.request
 	target := a.endpoint
 	a.ended = true
-	a.neverRan = e.Result.neverRan()
+	a.neverRan = e.Result.NeverRan()
 	r.inFlight--
 	r.bodyConsumed = r.bodyConsumed || e.BodyConsumed
 	r.class.subset.inFlight--
--- a/policy/request.go
+++ b/policy/request.go
@@ -37,8 +37,8 @@
 	neverRan   bool // its result proves that the endpoint did not run it
 }
 
-// neverRan reports whether the result proves that the endpoint did not run the attempt.
-func (r AttemptResult) neverRan() bool {
+// NeverRan reports whether the result proves that the endpoint did not run the attempt.
+func (r AttemptResult) NeverRan() bool {
 	return r == Overloaded || r == ConnectFailed || r == NotSent
 }
 
