Count the time of a long request from the client's last byte, not from the node's last write

Cause: the budget of a streamed request counted from the node's last write to the server. While the server reads slowly the node does not read from the client, whose last bytes were written long before. The sum of the waits for the server had no limit.

Change: bodyClock owns the earliest time at which a client may have written its last byte; a read that had to wait, and more bytes than the client's kernel can hold, prove that it was later. The time of the attempt and of the response counts from there. A write that lasts until 0.1 s before its end is given up: the server has not got the last byte, so that the client gets 503.

Evidence: TestSlowServerDoesNotExtendTheTimeOfARequest on the code before: 502 after 8.08 s of 2 s, with a length and in chunks; 503 in time now.

--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -198,8 +198,8 @@
 	return errors.Join(sendErr, err)
 }
 
-// followSuccessor acknowledges each announcement that the successor serves, shares IDs once the successor asks for them,
-// and returns when the connection ends.
+// followSuccessor acknowledges each announcement that the successor serves, shares IDs once the successor asks for
+// them, and returns when the connection ends.
 func (s *Server) followSuccessor(conn *net.UnixConn) {
 	reader := bufio.NewReader(conn)
 	for {
--- a/internal/inbound/framer.go
+++ b/internal/inbound/framer.go
@@ -264,6 +264,23 @@
 	return time.Since(f.startedAt)
 }
 
+// InBody reports whether the head of the current request has been passed, and not the whole request for certain.
+func (f *Framer) InBody() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.phase == phaseBody && (f.framing.chunked || f.remaining > 0)
+}
+
+// Missing returns how many bytes of the current request's body have not been read; -1 if that is unknown.
+func (f *Framer) Missing() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.framing.chunked {
+		return -1
+	}
+	return f.remaining
+}
+
 // HeadSize returns the number of bytes and of lines of the head of the current request, as far as it has arrived.
 func (f *Framer) HeadSize() (size, lines int) {
 	f.mu.Lock()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -193,10 +193,11 @@
 	err := p.writeStreamed(c, att)
 	if err == nil {
 		now := p.clock.now()
+		clientDeadline := p.streamedDeadline(att.request)
 		p.recordWritten(att, now+att.request.budget)
-		p.setClientDeadline(c, p.clock.at(now+att.request.budget))
-		p.setDeadline(c, p.clock.at(now+min(att.timeout, att.request.budget)))
-		p.requestsWritten <- requestWritten{attempt: att, writtenAt: now}
+		p.setClientDeadline(c, p.clock.at(clientDeadline))
+		p.setDeadline(c, p.clock.at(min(now+att.timeout, clientDeadline)))
+		p.requestsWritten <- requestWritten{attempt: att, clientDeadline: clientDeadline}
 		return <-c.replies, nil
 	}
 	// The server may have responded without reading the whole request. If it has not, the deadline or the close makes
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -45,6 +45,7 @@
 
 	acceptedAt time.Time
 	pacer      requestPacer
+	body       bodyClock
 	framer     inbound.Framer // divides the bytes that have been read into requests
 
 	// Guarded by listener.mu.
@@ -187,7 +188,7 @@
 		if limit == 0 {
 			return 0, errReadBeyondRequest
 		}
-		n, err := c.Conn.Read(b[:limit])
+		n, err := c.readSocket(b[:limit])
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			var retry bool
 			if n, retry, err = c.handleReadTimeout(b[:limit], c.framer.IsBackgroundRead(len(b)), err); retry {
@@ -204,6 +205,25 @@
 	}
 }
 
+// readSocket reads from the socket. Of a body it records whether the read had to wait for the client.
+func (c *clientConn) readSocket(b []byte) (int, error) {
+	if !c.framer.InBody() || c.framer.IsBackgroundRead(len(b)) {
+		return c.Conn.Read(b)
+	}
+	waits := unreadBytes(c.Conn) == 0
+	n, err := c.Conn.Read(b)
+	c.body.recordRead(n, waits, time.Now())
+	return n, err
+}
+
+// bodyWrittenAt returns the earliest time at which the client may have written the last byte of its request.
+func (c *clientConn) bodyWrittenAt(now time.Time) time.Time {
+	if c == nil {
+		return now
+	}
+	return c.body.earliestEnd(now, unreadBytes(c.Conn), c.framer.Missing())
+}
+
 // reserveHead reserves the memory for the head that is arriving. It returns false if too little is left.
 func (c *clientConn) reserveHead() bool {
 	size, lines := c.framer.HeadSize()
--- a/internal/node/client_listener.go
+++ b/internal/node/client_listener.go
@@ -163,6 +163,13 @@
 	return l.admitted
 }
 
+// servingConnections returns the number of admitted connections that have a request, or are being closed after one.
+func (l *limitedListener) servingConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admitted - l.awaitingHead.Len() - l.awaitingBody.Len()
+}
+
 // clientConnKey is the key of a connection in the context of its requests.
 type clientConnKey struct{}
 
@@ -182,7 +189,12 @@
 
 // recordHeadRead records that the head of a request has been read. It reports whether the connection is still open: it
 // may have been evicted since the read, and the request could then not be answered.
-func recordHeadRead(r *http.Request) (open bool) { return recordProgress(r, headRead) }
+func recordHeadRead(r *http.Request) (open bool) {
+	if c := clientConnOf(r); c != nil {
+		c.body.start(time.Now())
+	}
+	return recordProgress(r, headRead)
+}
 
 // recordRequestRead records that a request has been read, or that the remainder of its body is about to be streamed:
 // the connection is not evicted until the response has been written. It reports whether the connection is still open.
--- a/internal/node/recent_requests.go
+++ b/internal/node/recent_requests.go
@@ -14,8 +14,8 @@
 )
 
 // recentRequests holds the IDs of non-idempotent requests that may have run, for as long as clients wait for the
-// responses to them. A request that comes again under such an ID, after its client has left or at the other process of an
-// upgrade, must not be sent again. The number of IDs is limited; the oldest go first. The event loop owns it.
+// responses to them. A request that comes again under such an ID, after its client has left or at the other process of
+// an upgrade, must not be sent again. The number of IDs is limited; the oldest go first. The event loop owns it.
 type recentRequests struct {
 	nonIdempotent map[string]bool // names of classes
 	lifetime      time.Duration
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -83,8 +83,8 @@
 // requestWritten is the message from the goroutine of an attempt to the loop that a streamed request has been written
 // completely.
 type requestWritten struct {
-	attempt   *attempt
-	writtenAt time.Duration
+	attempt        *attempt
+	clientDeadline time.Duration // when the client stops waiting
 }
 
 // responseStarted is the message from the goroutine of an attempt to the loop that the response of the attempt can be
--- a/internal/node/request_events.go
+++ b/internal/node/request_events.go
@@ -117,10 +117,10 @@
 }
 
 // handleRequestWritten sets the deadline of a request whose body has been streamed to a server: its budget counts from
-// the time when the body was written.
+// the time when the client has written the body.
 func (l *eventLoop) handleRequestWritten(written requestWritten) {
 	request := written.attempt.request
-	request.deadline = written.writtenAt + request.budget
+	request.deadline = written.clientDeadline
 	if !request.finished.Load() {
 		l.countRequest(request)
 	}
--- a/internal/node/request_writing.go
+++ b/internal/node/request_writing.go
@@ -18,6 +18,10 @@
 // maxCopiedBody is the length of a body up to which it is copied behind its head, so that one write sends both.
 const maxCopiedBody = 4 << 10
 
+// streamedAnswerTime is how long before the end of the client's time a streamed request that has not been written is
+// given up, so that the client gets its answer in time. Its server cannot have run it.
+const streamedAnswerTime = 100 * time.Millisecond
+
 // errHeadOnly ends the encoding of a request after its head.
 var errHeadOnly = errors.New("only the head is encoded")
 
@@ -47,7 +51,11 @@
 
 // writeStreamed writes a request while its body is still arriving from the client.
 func (p *pool) writeStreamed(c *serverConn, att *attempt) error {
-	w := &streamWriter{serverConn: c, timeout: att.timeout}
+	w := &streamWriter{
+		serverConn: c,
+		timeout:    att.timeout,
+		giveUpAt:   func() time.Time { return p.clock.at(p.streamedDeadline(att.request) - streamedAnswerTime) },
+	}
 	buffered := bufio.NewWriterSize(w, p.buffers.chunkSize)
 	_, _ = buffered.Write(p.encodeHead(att)) // the flush returns an error too
 	err := buffered.Flush()
@@ -90,28 +98,45 @@
 	return err
 }
 
+// streamedDeadline returns when the client of a streamed request stops waiting, by what is known of its body now.
+func (p *pool) streamedDeadline(request *clientRequest) time.Duration {
+	now := time.Now()
+	sinceWritten := now.Sub(request.connection.bodyWrittenAt(now))
+	return p.clock.now() - sinceWritten + request.budget
+}
+
 // streamWriter writes a request to a server, with a timeout for each write, until a response arrives.
 type streamWriter struct {
 	*serverConn
-	timeout time.Duration
-	err     error // of the write that failed
+	timeout  time.Duration
+	giveUpAt func() time.Time // when the client has to be answered, by what is known now
+	err      error            // of the write that failed
 }
 
 // Write implements io.Writer. It returns errEarlyResponse if a response has arrived, or if the write fails for another
 // reason than its timeout: a server that responds early may close the connection.
-func (w *streamWriter) Write(b []byte) (int, error) {
-	if len(w.replies) > 0 {
-		w.err = errEarlyResponse
-		return 0, w.err
-	}
-	// The error is ignored: it occurs only on a closed connection, where the write fails too.
-	_ = w.SetWriteDeadline(time.Now().Add(w.timeout))
-	n, err := w.serverConn.Write(b)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		err = errEarlyResponse // a response that the server sent before the connection broke may still be read
+func (w *streamWriter) Write(b []byte) (written int, err error) {
+	timeout := time.Now().Add(w.timeout)
+	for {
+		if len(w.replies) > 0 {
+			w.err = errEarlyResponse
+			return written, w.err
+		}
+		deadline := earlier(timeout, w.giveUpAt())
+		// The error is ignored: it occurs only on a closed connection, where the write fails too.
+		_ = w.SetWriteDeadline(deadline)
+		var n int
+		n, w.err = w.serverConn.Write(b[written:])
+		written += n
+		timedOut := errors.Is(w.err, os.ErrDeadlineExceeded)
+		switch {
+		case timedOut && time.Now().Before(earlier(timeout, w.giveUpAt())): // the client has gone on writing since
+			continue
+		case w.err != nil && !timedOut:
+			w.err = errEarlyResponse // a response that the server sent before the connection broke may still be read
+		}
+		return written, w.err
 	}
-	w.err = err
-	return n, err
 }
 
 // encodeHead returns the head of a request in the form in which it is written to the endpoint.
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -91,7 +91,8 @@
 // unreadBytes returns how many received bytes of a connection have not been read; 0 if unknown.
 func unreadBytes(c net.Conn) int { return queuedBytes(c, unix.TIOCINQ) }
 
-// queuedBytes returns the length of a queue of a connection's socket, which the request for ioctl(2) names; 0 if unknown.
+// queuedBytes returns the length of a queue of a connection's socket, which the request for ioctl(2) names; 0 if
+// unknown.
 func queuedBytes(c net.Conn, request uint) (n int) {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
