Stay after SIGTERM as long as a long response is being passed on, for a minute at most

Cause: shutDown waited for the longest deadline of a class. By then every request has its answer, but a streamed one need not have ended.

Change: the process stays while a connection has a request or a response under way, for a minute after SIGTERM at most. minPause, the shortest silence that ends a short response of unknown length after its client's deadline, is 0.4 s in place of 0.2 s: a process that is held up for 0.15 s on either side came near it. That is a margin; no test of ours broke a response off before.

Evidence: TestLongResponseOutlastsShutdown on the code before: 120,000 of 160,000 bytes; all of them now, and the process ends after them. The tests of shutdown and of slow responses pass under the race detector.

--- a/internal/node/body_reader.go
+++ b/internal/node/body_reader.go
@@ -23,7 +23,7 @@
 // least.
 const (
 	pauseTolerance = 2
-	minPause       = 200 * time.Millisecond
+	minPause       = 400 * time.Millisecond // below the 0.5 s after its deadline in which a client still takes an answer
 )
 
 // minArrived is a number of buffered bytes that include bytes of the body: the framing between two chunks is shorter,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -25,6 +25,9 @@
 	finalResponsesMargin = 100 * time.Millisecond
 	// killGrace is the part of the time between SIGTERM and the kill that exceeds the longest deadline of a class.
 	killGrace = 700 * time.Millisecond
+	// maxStreamingShutdown is how long after SIGTERM the process stays to pass on long responses and bodies, unless the
+	// platform kills it before.
+	maxStreamingShutdown = time.Minute
 	// shutdownSlack is the time after the longest deadline for the last responses to be written.
 	shutdownSlack = 20 * time.Millisecond
 	// maxDeadlineBeforeKill is the upper bound of the longest deadline in the computation of the time of the kill.
@@ -92,6 +95,7 @@
 	began, longest := time.Now(), longestDeadline(n.cfg.Settings)
 	finalResponsesAt := began.Add(min(longest, maxDeadlineBeforeKill) + killGrace - finalResponsesMargin)
 	waitUntil := began.Add(frontEndNoticeDelay + closingResponsesTime + longest + shutdownSlack)
+	streamUntil := began.Add(maxStreamingShutdown)
 	if n.handover.SuccessorServes() {
 		closeSocket(n.inbound) // the successor accepts the connections in the shared queue
 	}
@@ -100,7 +104,7 @@
 	<-ended
 	for open := n.inbound.openConnections(); open > 0; open = n.inbound.openConnections() {
 		now := time.Now()
-		if now.After(waitUntil) {
+		if streaming := n.inbound.servingConnections() > 0 && now.Before(streamUntil); now.After(waitUntil) && !streaming {
 			n.log.Warn("connections left open", "n", open) // every request on them has been answered
 			return
 		}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -103,3 +104,42 @@
 		t.Errorf("the server got %d requests, want only the first", got)
 	}
 }
+
+// Guards against a long response that is cut off because its process was told to end: it stays as long as the response
+// is being given, also after the longest deadline of a class.
+func TestLongResponseOutlastsShutdown(t *testing.T) {
+	t.Parallel()
+	const (
+		pieces   = 8
+		pause    = 500 * time.Millisecond // 4 s in all
+		deadline = time.Second            // so that the process would end 1.6 s after it is told to
+	)
+	body := randomBody(pieces * 20000)
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		return slowResponse{chunked: true, body: body, pieces: pieces, pause: pause}.give(c)
+	})
+	cfg := testConfig(t, "pushed", inService("s-0", b.addr()))
+	cfg.Discovery = silentDiscovery(t)
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Deadline = deadline
+	}
+	n := start(t, cfg)
+	response, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "1", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	n.stop()
+	got, err := io.ReadAll(response.Body)
+	if err != nil || string(got) != body {
+		t.Errorf("got %d bytes, error %v, want all %d", len(got), err, len(body))
+	}
+	select {
+	case err := <-n.done:
+		if err != nil {
+			t.Errorf("the node ended with %v, want no error", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the node does not end after its last response")
+	}
+}
