Let a connection that is evicted within a body give up its place at once

Cause: one connection is evicted at a time. One whose body was arriving was answered through net/http, which sleeps 0.5 s before it closes such a connection. Without memory for bodies a request was passed on with its head alone, and its connection could not be evicted at all.

Change: the reader of an evicted connection answers 503 as far as the kernel takes it and closes the socket at once. Without memory for the whole buffer the first 2 KiB of a body are read before the request goes on.

TestMemoryBudgetsHold uses bodies of 4 KiB in place of 1,000 bytes, which need no reservation any more.

--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -289,22 +289,23 @@
 // Guards against memory that is reserved beyond the budget or never released. A body for which no memory is left is
 // streamed unchanged.
 func TestMemoryBudgetsHold(t *testing.T) {
-	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", randomBody(1000)) })
+	const length = 2 * minChunkSize // over what is buffered without a reservation
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool { return respond(c, "200 OK", randomBody(length)) })
 	cfg := testConfig(t, "pushed", inService("s", b.addr()))
 	cfg.Discovery = silentDiscovery(t)
-	const memory = 1500 // for one body of either direction
+	const memory = length * 3 / 2 // for one body of either direction
 	n := start(t, cfg, func(n *Node) {
 		n.buffers.requests.available.Store(memory)
 		n.buffers.responses.available.Store(memory)
 	})
 	done := make(chan error)
 	for i := range 20 {
-		r := newRequest(t, n.url, "keyed", fmt.Sprint(i), randomBody(1000))
+		r := newRequest(t, n.url, "keyed", fmt.Sprint(i), randomBody(length))
 		go func() {
 			resp, err := http.DefaultClient.Do(r)
 			if err == nil {
 				var got []byte
-				if got, err = io.ReadAll(resp.Body); err == nil && !bytes.Equal(got, []byte(randomBody(1000))) {
+				if got, err = io.ReadAll(resp.Body); err == nil && !bytes.Equal(got, []byte(randomBody(length))) {
 					err = errors.New("the body was changed on the way")
 				}
 				resp.Body.Close()
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -26,8 +26,9 @@
 	refusalWriteTimeout = 100 * time.Millisecond // for a short response to a client whose connection is new or at rest
 )
 
-// headRefusal is the response to a request for whose head no memory is left: nothing of it was executed.
-const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// refusal is the response to a request that the node refuses before the HTTP server has read it: nothing of it was
+// executed.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 var errNoMemoryForHead = errors.New("no memory is left for a head of this size")
 
@@ -237,7 +238,7 @@
 func (c *clientConn) refuseHead() error {
 	c.listener.metrics.CountInvalidRequest(errNoMemoryForHead.Error())
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = io.WriteString(c.Conn, headRefusal)
+	_, _ = io.WriteString(c.Conn, refusal)
 	return io.EOF
 }
 
@@ -277,13 +278,25 @@
 		c.postponeReadDeadline(left)
 		return 0, true, nil
 	}
-	if c.awaitsHead() {
+	switch {
+	case c.awaitsHead():
 		c.transition(readExpired)
 		c.listener.decisions.ConnectionClosed(c.closeCause(evicted, idle))
+	case evicted && c.state == clientConnReceiving:
+		c.listener.decisions.ConnectionClosed(metrics.CloseEvicted)
+		c.refuseBody()
 	}
 	return 0, false, timeout
 }
 
+// refuseBody answers a request whose body is still arriving, and closes the connection at once: the HTTP server would
+// keep it open for half a second after its response to such a request, and the next client waits for the place. The
+// caller holds the lock.
+func (c *clientConn) refuseBody() {
+	writeAvailable(c.Conn, refusal)
+	_ = c.endClose() // an error means that the connection has ended already
+}
+
 // readDeadlineOver reports whether the HTTP server's deadline has passed. The caller holds the lock.
 func (c *clientConn) readDeadlineOver() bool {
 	return !c.readDeadline.IsZero() && !time.Now().Before(c.readDeadline)
--- a/internal/node/client_listener_test.go
+++ b/internal/node/client_listener_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"testing"
+	"time"
 
 	"keelusher/internal/metrics"
 )
@@ -140,3 +143,35 @@
 		t.Errorf("the read of the partial request returned %v, want a timeout", err)
 	}
 }
+
+// Guards against clients that wait for a place behind peers that stop within a body: a connection that is evicted then
+// must give up its place at once, and not only after the pause in which the HTTP server lets such a peer finish.
+func TestHalfBodiesGiveUpTheirPlaces(t *testing.T) {
+	const (
+		limit   = 20
+		peers   = 10 * limit
+		longest = 2 * time.Second // for all of these peers; one each half second would take 50 times as long
+	)
+	b := newBackend(t, serveOK)
+	n := startWith(t, b)
+	n.inbound.setLimit(limit)
+	for _, memory := range []string{"with", "without"} {
+		if memory == "without" {
+			n.buffers.requests.available.Store(0)
+		}
+		for i := range peers {
+			id := fmt.Sprintf("%s-%d", memory, i)
+			write(t, dialNode(t, n), requestText("unsafe", id, "", "Content-Length: 1000000")+"half")
+		}
+		began := time.Now()
+		c := dialNode(t, n)
+		write(t, c, requestText("unsafe", "proper-"+memory, ""))
+		status := readStatusFrom(bufio.NewReader(c))
+		if took := time.Since(began); status != http.StatusOK || took > longest {
+			t.Errorf("%s memory for bodies: got status %d after %v, want 200 after %v at most", memory, status, took, longest)
+		}
+	}
+	if got := b.requests(); got != 2 {
+		t.Errorf("the server got %d requests, want those of the two proper clients", got)
+	}
+}
--- a/internal/node/request_parsing.go
+++ b/internal/node/request_parsing.go
@@ -55,9 +55,8 @@
 }
 
 // readBody reads a short body completely. Of a long body it reads the first part, up to maxBufferedBody bytes, and
-// leaves the remainder to be streamed. If no memory is available, it leaves the whole body to be streamed. A client
-// that sends only the head of a request with a long body thus occupies no server. Its errors are of type
-// *inbound.Rejection.
+// leaves the remainder to be streamed; if no memory is available, up to minChunkSize bytes. A client that sends only
+// the head of a request with a long body thus occupies no server. Its errors are of type *inbound.Rejection.
 func (h *clientHandler) readBody(w http.ResponseWriter, r *http.Request, request *clientRequest) error {
 	if r.ContentLength > maxStreamedBody {
 		return inbound.Reject(http.StatusRequestEntityTooLarge, errBodyOverLimit)
@@ -69,13 +68,13 @@
 	stream := inbound.NewBody(w, r, firstBodyByteDue(r))
 	// An unknown length (-1) becomes the largest unsigned number, so that the maximum is reserved.
 	request.bodyMemory = h.buffers.requests.reserve(int(min(uint64(request.contentLength), maxBufferedBody)))
-	if request.bodyMemory == nil {
-		request.bodyStream = stream
-		return nil
+	size := minChunkSize // part of what a connection may take
+	if request.bodyMemory != nil {
+		size = request.bodyMemory.size
 	}
 	var complete bool
 	var err error
-	request.body, complete, err = stream.Buffer(request.bodyMemory.size, request.contentLength)
+	request.body, complete, err = stream.Buffer(size, request.contentLength)
 	if err != nil {
 		request.bodyMemory.release()
 		return inbound.Reject(http.StatusBadRequest, errBodyUnreadable)
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -69,6 +69,15 @@
 	return max(n, 0)
 }
 
+// writeAvailable writes as much of a text as the kernel takes without waiting, and ignores errors.
+func writeAvailable(c net.Conn, text string) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _, _ = syscall.Write(int(fd), []byte(text)) })
+}
+
 // sinceLastBytes returns how long ago the kernel received the last bytes on a connection, with a precision of a few
 // milliseconds; 0 if unknown.
 func sinceLastBytes(c net.Conn) (ago time.Duration) {
