Give each line of an endpoint list its own time, and the whole list two seconds

Cause: the wait of 0.5 s for the end of a list of several lines began with its first line, whatever followed. The watch was ended and told the same again, without end.

Change: each line of such a list has 0.5 s, the whole list 2 s. A silent watch, such a list and another watch still fit into the 9 s until a change must be obeyed.

--- a/internal/node/staleness.go
+++ b/internal/node/staleness.go
@@ -17,8 +17,10 @@
 	// connection and 1 s for a poll that waits for a call slot of discovery. A watch that fails must leave time
 	// for another one: where lists are pushed, the grace period of a draining server has begun already.
 	firstLineTimeout = 2300 * time.Millisecond
-	// incompleteListTimeout is the timeout from the first to the last line of a list that spans several lines.
+	// incompleteListTimeout is the timeout of the next line of a list that spans several lines, and listTimeout that of
+	// its last line. A silent watch, such a list and another watch fit into 9 s.
 	incompleteListTimeout = 500 * time.Millisecond
+	listTimeout           = 2 * time.Second
 	// suspensionThreshold is how late the monitor's own timer may fire before the process counts as suspended. The
 	// grace period of a draining server has 50 ms of slack.
 	suspensionThreshold = 100 * time.Millisecond
@@ -55,6 +57,7 @@
 	watchNumber     int
 	cancelWatch     func(error)
 	listIncomplete  bool
+	listDue         time.Time // when the last line of an incomplete list is due
 	suspended       bool
 	readSinceResume bool
 	heldDeadline    int64     // the activityDeadline that has passed, which is why sends are held
@@ -121,8 +124,8 @@
 	if m.timer == nil {
 		return
 	}
-	if listIncomplete && m.listIncomplete { // the timeout of a list starts with its first line
-		return
+	if listIncomplete {
+		timeout = m.listPartTimeout(timeout)
 	}
 	m.listIncomplete, m.readSinceResume = listIncomplete, true
 	if m.suspended {
@@ -133,6 +136,16 @@
 	m.timer.Reset(timeout)
 }
 
+// listPartTimeout returns the timeout of the line after a part of a list: the given one, or what is left until the list
+// is due. The caller holds m.mu.
+func (m *stalenessMonitor) listPartTimeout(timeout time.Duration) time.Duration {
+	now := time.Now()
+	if !m.listIncomplete {
+		m.listDue = now.Add(listTimeout)
+	}
+	return min(timeout, max(0, m.listDue.Sub(now)))
+}
+
 // expire handles the expiry of the timer that was set for a watch.
 func (m *stalenessMonitor) expire(watchNumber int) {
 	m.mu.Lock()
--- a/internal/node/staleness_test.go
+++ b/internal/node/staleness_test.go
@@ -36,6 +36,46 @@
 	}
 }
 
+// Guards against a change that is never taken because its list comes slowly: a list that takes longer than the wait for
+// its next line is delivered from the first watch, and one that never ends is not waited for.
+func TestSlowListIsTaken(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lines   int // of spaces, before the end of the list
+		watches int
+	}{"ends": {15, 1}, "endless": {1000, 2}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			calls := make(chan string, 100)
+			addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) {
+				calls <- r.URL.RawQuery
+				writeFlushed(w, "{\"seq\":44,\"whole\":false,\n")
+				for i := 0; i < tc.lines && r.Context().Err() == nil; i++ {
+					time.Sleep(60 * time.Millisecond)
+					writeFlushed(w, " \n")
+				}
+				writeFlushed(w, "\"hosts\":[]}\n")
+				<-r.Context().Done()
+			})
+			_, events := startDiscovery(t, addr, "pushed", watchSilenceTimeout)
+			if tc.watches == 1 {
+				select {
+				case event := <-events:
+					if event.list.Version != 44 {
+						t.Errorf("delivered %+v, want version 44", event)
+					}
+				case <-time.After(5 * time.Second):
+					t.Error("the list was not delivered within 5s")
+				}
+			} else {
+				time.Sleep(listTimeout + 500*time.Millisecond)
+			}
+			if got := len(calls); got < tc.watches || tc.watches == 1 && got > 1 {
+				t.Errorf("%d watches were opened, want %d", got, tc.watches)
+			}
+		})
+	}
+}
+
 // Guards against keeping a watch without progress: silence, a trickle of bytes without the end of a line, and a list
 // that stops before its end. Each such watch is replaced by one from the version of the last delivered list.
 func TestBrokenWatchesAreReplaced(t *testing.T) {
