Release the memory for the body of a request that is refused because it came too late

Cause: parseRequest returned no request with the error of a request that had waited to be read for longer than its time, so that nobody released what the request had reserved.

Change: it returns the request, and ServeHTTP releases it on every error; the releases on single paths are gone.

--- a/internal/node/client_handler.go
+++ b/internal/node/client_handler.go
@@ -57,6 +57,7 @@
 	}
 	request, err := h.parseRequest(w, r)
 	if err != nil {
+		request.release()
 		h.reject(w, err)
 		return
 	}
--- a/internal/node/memory_reservation_test.go
+++ b/internal/node/memory_reservation_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -171,3 +172,25 @@
 		}
 	}
 }
+
+// Guards against memory for a body that stays reserved when the request is refused because it has waited too long to be
+// read: in the end no memory would be left for any body.
+func TestBodyOfLateRequestIsReleased(t *testing.T) {
+	b := newBackend(t, serveOK)
+	n := startWith(t, b)
+	available := n.buffers.requests.available.Load()
+	for i := range 20 {
+		c := dialNode(t, n)
+		text := requestText("unsafe", strconv.Itoa(i), "payload")
+		text = strings.Replace(text, "X-Budget: 30000m", "X-Budget: 1u", 1)
+		write(t, c, text[:len(text)-1])
+		time.Sleep(2 * time.Millisecond)
+		write(t, c, text[len(text)-1:])
+		if status := readStatusFrom(bufio.NewReader(c)); status != http.StatusServiceUnavailable {
+			t.Fatalf("a request whose time is over got status %d, want 503", status)
+		}
+	}
+	if left := n.buffers.requests.available.Load(); left != available {
+		t.Errorf("%d bytes of the memory for bodies are still reserved, want none", available-left)
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -38,6 +38,13 @@
 	counted      bool // the metrics include the request
 }
 
+// release returns the memory of a request that is not passed to the loop; the request may be nil.
+func (r *clientRequest) release() {
+	if r != nil {
+		r.bodyMemory.release()
+	}
+}
+
 // clientState returns the state of the client's connection. It is unknown if a close may be hidden behind what the
 // client has sent after its request; while a body is streamed, what is unread belongs to the request.
 func (r *clientRequest) clientState() guard.ClientState {
--- a/internal/node/request_parsing.go
+++ b/internal/node/request_parsing.go
@@ -18,7 +18,8 @@
 	errBodyUnreadable     = errors.New("the body could not be read")
 )
 
-// parseRequest converts an HTTP request into a request for the loop. Its errors are of type *inbound.Rejection.
+// parseRequest converts an HTTP request into a request for the loop. Its errors are of type *inbound.Rejection. The
+// caller then releases what the request has reserved.
 func (h *clientHandler) parseRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
 	meta, budget, err := inbound.ParseHeaders(r, h.methods)
 	if err != nil {
@@ -33,12 +34,12 @@
 		connection: clientConnOf(r),
 	}
 	if err := h.readBody(w, r, request); err != nil {
-		return nil, err
+		return request, err
 	}
 	request.header = inbound.ForwardableHeaders(r.Header)
 	request.budget = budget - h.timeQueued(request.connection)
 	if request.budget <= 0 {
-		return nil, inbound.Reject(http.StatusServiceUnavailable, errBudgetSpentWaiting)
+		return request, inbound.Reject(http.StatusServiceUnavailable, errBudgetSpentWaiting)
 	}
 	request.deadline = h.clock.now() + request.budget
 	request.meta.Deadline = request.deadline
@@ -76,7 +77,6 @@
 	var err error
 	request.body, complete, err = stream.Buffer(size, request.contentLength)
 	if err != nil {
-		request.bodyMemory.release()
 		return inbound.Reject(http.StatusBadRequest, errBodyUnreadable)
 	}
 	if complete {
@@ -86,7 +86,6 @@
 		request.bodyStream = stream
 	}
 	if r.Method == http.MethodGet && len(request.body) > 0 {
-		request.bodyMemory.release()
 		return inbound.Reject(http.StatusBadRequest, inbound.ErrBodyOnGet)
 	}
 	return nil
