Pass the calls of operators to the other process of an upgrade

Cause: the successor learned the phase once, with the listener.

Change: what the processes exchange once the successor serves are frames, of IDs as before and of the calls out-of-service and in-service. A call goes to the own lifecycle and then to the other process; what was called between the hand-over of the listener and the begin of the exchange is its first frame. A process of an older build is sent nothing, as before.

Evidence: TestOperatorCallsReachBothProcesses with the passing on taken out, on a copy: fails for a call of the old process, of the new one, and of an old one that is to end; 3 runs of 3 pass with it. An earlier form of the test failed in each run: the name of a subtest made the path of its Unix socket too long.

--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -22,8 +22,8 @@
 	Listener net.Listener
 	Phase    lifecycle.Phase // of the predecessor when it handed the listener over
 
-	conn *net.UnixConn
-	ids  atomic.Pointer[idSender] // nil until the predecessor expects IDs
+	conn   *net.UnixConn
+	sender atomic.Pointer[frameSender] // nil until the exchange begins
 }
 
 // Connect receives the listener of the process that is serving now. It returns nil if there is no such process: the
@@ -93,8 +93,8 @@
 }
 
 // Follow returns when the predecessor has exited or Close was called. It calls onAcknowledged when the predecessor
-// acknowledges AnnounceServing, then asks for the IDs of requests that must not run twice, and calls onID for each.
-func (p *Predecessor) Follow(onAcknowledged func(), onID func(id string)) {
+// acknowledges AnnounceServing, then asks for an exchange and passes on what the predecessor shares.
+func (p *Predecessor) Follow(onAcknowledged func(), shared Shared) {
 	reader := bufio.NewReader(p.conn)
 	for {
 		message, err := reader.ReadByte()
@@ -104,20 +104,23 @@
 		switch message {
 		case serving:
 			onAcknowledged()
-			_, _ = p.conn.Write([]byte{idsRequested}) // as in AnnounceServing
-		case idsFollow:
-			sender := startIDSender(p.conn, nil)
+			_, _ = p.conn.Write([]byte{exchangeRequested}) // as in AnnounceServing
+		case exchangeBegins:
+			sender := startFrameSender(p.conn, nil)
 			defer sender.stop()
-			p.ids.Store(sender)
-			defer p.ids.Store(nil)
-			receiveIDs(reader, onID)
+			p.sender.Store(sender)
+			defer p.sender.Store(nil)
+			shared.receive(reader)
 			return
 		}
 	}
 }
 
 // ShareID passes the ID of a request that may run to the predecessor, as long as it runs. It never blocks.
-func (p *Predecessor) ShareID(id string) { p.ids.Load().send(id) }
+func (p *Predecessor) ShareID(id string) { p.sender.Load().send(idFrame(id)) }
+
+// ShareEvent passes the event of an operator to the predecessor, as long as it runs. It never blocks.
+func (p *Predecessor) ShareEvent(event lifecycle.Event) { p.sender.Load().send(frameOfEvent(event)) }
 
 // Close ends the connection to the predecessor.
 func (p *Predecessor) Close() { closeSocket(p.conn) }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -8,9 +8,9 @@
 //	predecessor to successor: one byte, its phase, with the listening socket
 //	successor to predecessor: one byte, once it serves
 //	predecessor to successor: one byte, to acknowledge that
-//	successor to predecessor: one byte, to ask for the IDs of requests that must not run twice
-//	predecessor to successor: one byte, that they follow
-//	either way: the IDs, each as one byte with its length and its text
+//	successor to predecessor: one byte, to ask for an exchange
+//	predecessor to successor: one byte, that it begins
+//	either way: frames with the IDs of requests that must not run twice, and with the calls of operators
 //
 // The connection stays open as long as both processes run. Its end tells either process that the other has exited.
 package handover
@@ -51,10 +51,8 @@
 	Listener syscall.Conn
 	Phase    func() lifecycle.Phase
 
-	// KnownIDs returns the IDs of requests that may have run in this process and must not run again. OnID is called with
-	// those of the successor. Either may be nil: then no IDs are shared.
-	KnownIDs func() []string
-	OnID     func(id string)
+	// Shared receives what a successor shares, and says what to share with it; nil: nothing is shared.
+	Shared *Shared
 
 	// OnProcessCountChange is called with +1 or -1 when the number of processes that share the node's limits changes.
 	OnProcessCountChange func(change int)
@@ -63,9 +61,9 @@
 // Server hands the listener over to successors.
 type Server struct {
 	config          Config
-	successorServes atomic.Bool              // a successor accepts clients
-	changed         chan struct{}            // holds a token after successorServes has changed
-	ids             atomic.Pointer[idSender] // to the successor; nil: it has not asked for IDs
+	successorServes atomic.Bool                 // a successor accepts clients
+	changed         chan struct{}               // holds a token after successorServes has changed
+	sender          atomic.Pointer[frameSender] // to the successor; nil: it has not asked for an exchange
 }
 
 // NewServer returns a server, which Serve runs.
@@ -77,7 +75,10 @@
 func (s *Server) SuccessorServes() bool { return s.successorServes.Load() }
 
 // ShareID passes the ID of a request that may run to the successor, if there is one. It never blocks.
-func (s *Server) ShareID(id string) { s.ids.Load().send(id) }
+func (s *Server) ShareID(id string) { s.sender.Load().send(idFrame(id)) }
+
+// ShareEvent passes the event of an operator to the successor, if there is one. It never blocks.
+func (s *Server) ShareEvent(event lifecycle.Event) { s.sender.Load().send(frameOfEvent(event)) }
 
 // Changed returns a channel that gets a value after each change of SuccessorServes; changes that were not received yet
 // share one value. It must have a single receiver.
@@ -169,13 +170,14 @@
 	defer closeSocket(conn)
 	stop := context.AfterFunc(ctx, func() { closeSocket(conn) })
 	defer stop()
-	if err := s.sendListener(conn); err != nil {
+	phase := s.config.Phase()
+	if err := s.sendListener(conn, phase); err != nil {
 		s.config.Log.Warn("the listener could not be handed over", "err", err)
 		return
 	}
 	s.config.Log.Info("a successor has the listener")
 	s.config.OnProcessCountChange(+1)
-	s.followSuccessor(conn)
+	s.followSuccessor(conn, phase)
 	if ctx.Err() == nil { // the successor exited before this process
 		s.setSuccessorServes(false)
 		s.config.OnProcessCountChange(-1)
@@ -184,7 +186,7 @@
 }
 
 // sendListener sends the phase of the node and its listener.
-func (s *Server) sendListener(conn *net.UnixConn) error {
+func (s *Server) sendListener(conn *net.UnixConn, phase lifecycle.Phase) error {
 	raw, err := s.config.Listener.SyscallConn()
 	if err != nil {
 		return err
@@ -193,22 +195,22 @@
 	// blocking mode for both processes.
 	var sendErr error
 	err = raw.Control(func(descriptor uintptr) {
-		_, _, sendErr = conn.WriteMsgUnix([]byte{byte(s.config.Phase())}, syscall.UnixRights(int(descriptor)), nil)
+		_, _, sendErr = conn.WriteMsgUnix([]byte{byte(phase)}, syscall.UnixRights(int(descriptor)), nil)
 	})
 	return errors.Join(sendErr, err)
 }
 
-// followSuccessor acknowledges each announcement that the successor serves, shares IDs once the successor asks for
-// them, and returns when the connection ends.
-func (s *Server) followSuccessor(conn *net.UnixConn) {
+// followSuccessor acknowledges each announcement that the successor serves, exchanges frames once the successor asks
+// for that, and returns when the connection ends. The argument is the phase that was handed over.
+func (s *Server) followSuccessor(conn *net.UnixConn, handedOver lifecycle.Phase) {
 	reader := bufio.NewReader(conn)
 	for {
 		message, err := reader.ReadByte()
 		if err != nil {
 			return
 		}
-		if message == idsRequested && s.config.KnownIDs != nil && s.config.OnID != nil {
-			s.shareIDs(conn, reader)
+		if message == exchangeRequested && s.config.Shared != nil {
+			s.exchange(conn, reader, handedOver)
 			return
 		}
 		s.setSuccessorServes(true)
@@ -217,14 +219,14 @@
 	}
 }
 
-// shareIDs exchanges IDs with the successor until the connection ends.
-func (s *Server) shareIDs(conn *net.UnixConn, reader *bufio.Reader) {
-	if _, err := conn.Write([]byte{idsFollow}); err != nil {
+// exchange shares with the successor until the connection ends.
+func (s *Server) exchange(conn *net.UnixConn, reader *bufio.Reader, handedOver lifecycle.Phase) {
+	if _, err := conn.Write([]byte{exchangeBegins}); err != nil {
 		return
 	}
-	sender := startIDSender(conn, s.config.KnownIDs())
+	sender := startFrameSender(conn, s.config.Shared.firstFrames(handedOver))
 	defer sender.stop()
-	s.ids.Store(sender)
-	defer s.ids.Store(nil)
-	receiveIDs(reader, s.config.OnID)
+	s.sender.Store(sender)
+	defer s.sender.Store(nil)
+	s.config.Shared.receive(reader)
 }
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
 	"keelusher/internal/handover"
+	"keelusher/internal/lifecycle"
 )
 
 // freeAddr returns a loopback address on which nothing listens.
@@ -61,6 +63,16 @@
 	return r
 }
 
+// startSuccessor starts a process once the one that runs can hand over to it.
+func startSuccessor(t *testing.T, cfg Config) *runningNode {
+	t.Helper()
+	eventually(t, "the hand-over socket is bound", func() bool {
+		_, err := os.Stat(cfg.handoverSocket)
+		return err == nil
+	})
+	return startProcess(t, cfg)
+}
+
 // upgradeConfig returns the configuration that the processes of one node share.
 func upgradeConfig(t *testing.T, b *backend) Config {
 	t.Helper()
@@ -235,3 +247,56 @@
 	}
 	eventually(t, "the node is in service", func() bool { return newProcess.ready(t) == http.StatusOK })
 }
+
+// Guards against a call that is lost in an upgrade: whichever process an operator calls after the successor serves,
+// also one that has been told to end, the node is taken out of service, and a call of the new process takes it back.
+func TestOperatorCallsReachBothProcesses(t *testing.T) {
+	for name, tc := range map[string]struct { // short names: they are part of the path of a Unix socket
+		callOld, ending bool
+	}{
+		"old":    {callOld: true},
+		"new":    {},
+		"ending": {callOld: true, ending: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := upgradeConfig(t, newBackend(t, serveOK))
+			oldProcess := startProcess(t, cfg)
+			newProcess := startSuccessor(t, cfg)
+			eventually(t, "the processes share", func() bool {
+				newProcess.loop.runTask(func() { newProcess.loop.shareID("shared") })
+				var known bool
+				oldProcess.loop.runTask(func() { known = oldProcess.loop.recent.contains("shared", oldProcess.loop.clock.now()) })
+				return known
+			})
+			called := newProcess
+			if tc.callOld {
+				called = oldProcess
+			}
+			if tc.ending {
+				oldProcess.stop()
+				eventually(t, "the old process shuts down", func() bool {
+					return oldProcess.lifecycle.Current() == lifecycle.ShuttingDown
+				})
+			}
+			if status, _ := called.callAdmin(t, "PUT", "/control/out-of-service"); status != http.StatusOK {
+				t.Fatalf("PUT out-of-service got status %d, want 200", status)
+			}
+			eventually(t, "the new process is out of service", func() bool {
+				return newProcess.lifecycle.Current() == lifecycle.Drained
+			})
+			if !tc.ending {
+				eventually(t, "the old process is out of service", func() bool {
+					return oldProcess.lifecycle.Current() == lifecycle.Drained
+				})
+				oldProcess.stopAndWait(t)
+			}
+			if status := newProcess.ready(t); status != http.StatusServiceUnavailable {
+				t.Errorf("/ready got status %d, want 503", status)
+			}
+			if status, _ := newProcess.callAdmin(t, "PUT", "/control/in-service"); status != http.StatusOK {
+				t.Errorf("PUT in-service got status %d, want 200", status)
+			}
+			eventually(t, "the node is in service", func() bool { return newProcess.ready(t) == http.StatusOK })
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,9 @@
 	overrides  atomic.Pointer[overridesHost]   // nil: not yet started, or not configured
 	accepting  atomic.Bool                     // this process accepts clients, and the predecessor, if any, knows that
 
+	otherProcessesMutex sync.Mutex
+	others              []otherProcess // what an operator calls for is passed to them
+
 	sharingMutex   sync.Mutex
 	otherProcesses int // processes besides this one (predecessor, successors) that share its limits
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -18,10 +18,9 @@
 	return n.lifecycle.CanServe() && n.accepting.Load() && n.loop.hasReadyEndpoint.Load()
 }
 
-// Transition passes an event to the lifecycle and reports whether the current phase allows it.
-func (b adminBackend) Transition(event lifecycle.Event) bool {
-	return b.node.lifecycle.Transition(event)
-}
+// Transition passes an operator's event to the lifecycle of all processes of the node, and reports whether the current
+// phase of this one allows it.
+func (b adminBackend) Transition(event lifecycle.Event) bool { return b.node.operatorTransition(event) }
 
 // Counters returns the current counters, and false if the event loop has ended.
 func (b adminBackend) Counters() (page metrics.CountersPage, ok bool) {
--- a/internal/node/recent_requests.go
+++ b/internal/node/recent_requests.go
@@ -88,22 +88,3 @@
 	}
 	return ids
 }
-
-// knownIDs returns the IDs of requests that may have run in this process, or may run now, and must not run again.
-func (n *Node) knownIDs() []string {
-	var ids []string
-	n.loop.runTask(func() {
-		ids = n.loop.recent.ids()
-		for id, request := range n.loop.openRequests {
-			if request.attemptCount > 0 && n.loop.recent.covers(request.meta.Class) {
-				ids = append(ids, id)
-			}
-		}
-	})
-	return ids
-}
-
-// recordForeignID records the ID of a request that may run in another process of the node.
-func (n *Node) recordForeignID(id string) {
-	n.loop.runTask(func() { n.loop.recent.add(id, n.loop.clock.now()) })
-}
--- a/internal/node/recent_requests_test.go
+++ b/internal/node/recent_requests_test.go
@@ -55,7 +55,7 @@
 	if status := send(oldClient, oldProcess, "unsafe", "before"); status != http.StatusOK {
 		t.Fatalf("the first request got status %d, want 200", status)
 	}
-	newProcess := startProcess(t, cfg)
+	newProcess := startSuccessor(t, cfg)
 	knows := func(process *runningNode, id string) func() bool {
 		return func() (known bool) {
 			process.loop.runTask(func() { known = process.loop.recent.contains(id, process.loop.clock.now()) })
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -60,7 +60,7 @@
 	n.inbound = newLimitedListener(listener, n.cfg.connectionLimits(1).clients, n.loop.metrics, n.loop.decisions)
 	n.inbound.heads = n.buffers.heads
 	n.handover = n.newHandoverServer(listener.(syscall.Conn))
-	s.shareIDs()
+	n.shareWithProcesses(previous)
 	s.clients = n.newClientServer(suspension)
 	if previous == nil {
 		close(s.acceptClients)
@@ -101,17 +101,6 @@
 	return err
 }
 
-// shareIDs lets the loop pass the IDs of requests that must not run twice to the other processes of the node.
-func (s *session) shareIDs() {
-	share := func(id string) {
-		s.node.handover.ShareID(id)
-		if s.predecessor != nil {
-			s.predecessor.ShareID(id)
-		}
-	}
-	s.node.loop.runTask(func() { s.node.loop.shareID = share })
-}
-
 // run starts f in a goroutine that serve waits for before it returns.
 func (s *session) run(f func()) {
 	s.tasks.Add(1)
@@ -168,8 +157,7 @@
 		Log:                  n.log,
 		Listener:             listener,
 		Phase:                n.lifecycle.Current,
-		KnownIDs:             n.knownIDs,
-		OnID:                 n.recordForeignID,
+		Shared:               n.shared(),
 		OnProcessCountChange: n.adjustProcessCount,
 	})
 }
@@ -183,7 +171,7 @@
 		n.lifecycle.Transition(lifecycle.Drain)
 	}
 	go func() { // ends with the connection to the predecessor, which serve closes
-		s.predecessor.Follow(sync.OnceFunc(func() { close(s.predecessorAcknowledged) }), n.recordForeignID)
+		s.predecessor.Follow(sync.OnceFunc(func() { close(s.predecessorAcknowledged) }), *n.shared())
 		close(s.predecessorExited)
 		n.adjustProcessCount(-1)
 	}()
