Pass a path on in the form in which the client has sent it

Cause: net/url keeps the form of a path only if it is a valid encoding, and encodes others anew.

Change: the path of the request line is written as it came. Absolute URLs, and paths that begin with two slashes, are written as before.

Evidence: TestTargetIsForwardedUnchanged on the commit before: "/a%2fb\"c" arrived as "/a/b%22c", "/a|b?" as "/a%7Cb?", "/a#b" as "/a%23b"; all eight targets arrive unchanged now.

--- a/internal/node/pipelining_test.go
+++ b/internal/node/pipelining_test.go
@@ -113,3 +113,25 @@
 		}
 	}
 }
+
+// Guards against a request whose path reaches the server in another form than the client has sent: a path with a
+// character that may not stand in one was encoded anew.
+func TestTargetIsForwardedUnchanged(t *testing.T) {
+	b := newBackend(t, serveOK)
+	n := startWith(t, b)
+	c := dialNode(t, n)
+	in := bufio.NewReader(c)
+	targets := []string{
+		"/api", "/a%2Fb", "/a%2fb\"c", "/a%2Fb?x=%20&y", "/a|b?", "/a#b", "/%41?q=\"%2f\"", "//a/b",
+	}
+	for i, target := range targets {
+		text := requestText("safe", fmt.Sprint(i), "")
+		write(t, c, strings.Replace(text, " /api ", " "+target+" ", 1))
+		if status := readStatusFrom(in); status != http.StatusOK {
+			t.Fatalf("%s: got status %d, want 200", target, status)
+		}
+		if got := b.seen[i].RequestURI; got != target {
+			t.Errorf("the server got the target %q, want %q", got, target)
+		}
+	}
+}
--- a/internal/node/request_parsing.go
+++ b/internal/node/request_parsing.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 
 	"keelusher/internal/inbound"
@@ -28,7 +30,7 @@
 	request := &clientRequest{
 		meta:       meta,
 		method:     r.Method,
-		url:        r.URL,
+		url:        forwardedURL(r),
 		host:       r.Host,
 		responses:  make(chan response, 1),
 		connection: clientConnOf(r),
@@ -47,6 +49,17 @@
 	return request, nil
 }
 
+// forwardedURL returns the URL of a request in the form in which its path is written as the client has sent it. A path
+// with characters that may not stand in one would be encoded anew otherwise, "%2F" as "/". Absolute URLs, and paths
+// that begin like a host, have no such form.
+func forwardedURL(r *http.Request) *url.URL {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		return r.URL
+	}
+	return &url.URL{Opaque: path, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+}
+
 // timeQueued returns how long a request that has just been read may have waited to be read, because the process was
 // suspended, its connection was not yet accepted or admitted, or no processor was free. The client counts this time
 // against the budget.
