Pass a head that arrives in one piece without a copy, and query a client's socket once

Each head was copied twice, and each check of the client's state fetched the descriptor of its socket twice.

Change: Framer passes a head that arrives in one piece, with nothing behind it, as it is. peerState returns the state and the number of unread bytes of one query; clientState takes whether the request is complete.

--- a/internal/inbound/framer.go
+++ b/internal/inbound/framer.go
@@ -97,10 +97,33 @@
 		f.remaining -= int64(n)
 		return n
 	}
+	if f.takeWholeHead(b[:n]) {
+		return n
+	}
 	f.held = append(f.held, b[:n]...)
 	return f.next(b)
 }
 
+// takeWholeHead records a head that has arrived in one piece with nothing behind it, the usual case, and reports
+// whether it was one. The server may then have all of the piece, which is not copied.
+func (f *Framer) takeWholeHead(piece []byte) bool {
+	if f.phase != phaseHead || len(f.head) > 0 || len(f.held) > 0 || headEnd(piece, 0) != len(piece) {
+		return false
+	}
+	f.startedAt = time.Now()
+	f.headSize, f.headLines = len(piece), bytes.Count(piece, []byte("\n"))
+	f.endHead(piece)
+	f.phase = phaseBody
+	return true
+}
+
+// endHead records the framing that a complete head announces.
+func (f *Framer) endHead(head []byte) {
+	f.framing = parseFraming(head)
+	f.remaining = f.framing.length
+	f.afterLine = true
+}
+
 // EndRequest prepares for the next request: the response to the previous one has been written.
 func (f *Framer) EndRequest() {
 	f.mu.Lock()
@@ -151,9 +174,7 @@
 	f.headSize = len(f.head)
 	f.headLines += bytes.Count(f.head[min(before, len(f.head)):], []byte("\n"))
 	if end >= 0 {
-		f.framing = parseFraming(f.head)
-		f.remaining = f.framing.length
-		f.afterLine = true
+		f.endHead(f.head)
 		f.phase = phasePassHead
 		return
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -226,7 +226,7 @@
 			RequestAnswered:   att.request.finished.Load(),
 			EndpointRemoved:   att.endpoint.unavailable.Load(),
 			EndpointListStale: p.staleness.holdSends(),
-			Client:            att.request.clientState(),
+			Client:            att.request.connection.clientState(att.request.bodyStream == nil),
 		}.Verdict()
 		if verdict != guard.EndpointListStale {
 			return verdict
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -134,19 +134,18 @@
 	return sinceLastBytes(c.Conn)
 }
 
-// closeMayBeHidden reports whether the client may have closed the connection although clientState does not show it: so
-// many bytes behind the current request are unread that the end of the stream need not have found room.
-func (c *clientConn) closeMayBeHidden() bool {
-	return c != nil && unreadBytes(c.Conn) > maxUnreadBehind
-}
-
 // clientState reports whether the client has closed the connection. A client that has shut down only its sending
 // direction cannot be distinguished from one that has closed the connection, and counts as disconnected. The background
 // read of net/http does not suffice: it misses a disconnect while bytes of a body or of a next request are unread, and
-// while the process is suspended or busy.
-func (c *clientConn) clientState() guard.ClientState {
+// while the process is suspended or busy. The state is unknown if the client has sent so much behind a whole request
+// that the end of the stream need not have found room: a close would be hidden behind it.
+func (c *clientConn) clientState(requestComplete bool) guard.ClientState {
 	if c == nil {
 		return guard.ClientConnected
 	}
-	return peerState(c.Conn)
+	state, unread := peerState(c.Conn)
+	if state == guard.ClientConnected && requestComplete && unread > maxUnreadBehind {
+		return guard.ClientStateUnknown
+	}
+	return state
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -45,16 +45,6 @@
 	}
 }
 
-// clientState returns the state of the client's connection. It is unknown if a close may be hidden behind what the
-// client has sent after its request; while a body is streamed, what is unread belongs to the request.
-func (r *clientRequest) clientState() guard.ClientState {
-	state := r.connection.clientState()
-	if state == guard.ClientConnected && r.bodyStream == nil && r.connection.closeMayBeHidden() {
-		return guard.ClientStateUnknown
-	}
-	return state
-}
-
 // response is the final response to a request.
 type response struct {
 	status      int
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -28,12 +28,15 @@
 	_ = raw.Control(func(descriptor uintptr) { f(int(descriptor)) })
 }
 
-// peerState reports whether the peer has closed a connection or shut down its sending direction. A connection that the
-// node has closed counts as closed by its peer.
-func peerState(c net.Conn) guard.ClientState {
-	state := guard.ClientClosed
-	onDescriptor(c, func(descriptor int) { state = pollPeer(int32(descriptor)) })
-	return state
+// peerState reports whether the peer has closed a connection or shut down its sending direction, and how many bytes
+// that it has sent are unread. A connection that the node has closed counts as closed by its peer.
+func peerState(c net.Conn) (state guard.ClientState, unread int) {
+	state = guard.ClientClosed
+	onDescriptor(c, func(descriptor int) {
+		state = pollPeer(int32(descriptor))
+		unread = queueLength(descriptor, unix.TIOCINQ)
+	})
+	return state, unread
 }
 
 // pollPeer returns the state of the peer of a socket, given its descriptor.
@@ -89,13 +92,17 @@
 // unreadBytes returns how many received bytes of a connection have not been read; 0 if unknown.
 func unreadBytes(c net.Conn) int { return queuedBytes(c, unix.TIOCINQ) }
 
-// queuedBytes returns the length of a queue of a connection's socket, which the request for ioctl(2) names; 0 if
-// unknown.
+// queuedBytes returns the length of a queue of a connection's socket; 0 if unknown.
 func queuedBytes(c net.Conn, request uint) (n int) {
-	onDescriptor(c, func(descriptor int) {
-		if queued, err := unix.IoctlGetInt(descriptor, request); err == nil {
-			n = queued
-		}
-	})
+	onDescriptor(c, func(descriptor int) { n = queueLength(descriptor, request) })
 	return n
 }
+
+// queueLength returns the length of a queue of a socket, which the request for ioctl(2) names; 0 if unknown.
+func queueLength(descriptor int, request uint) int {
+	length, err := unix.IoctlGetInt(descriptor, request)
+	if err != nil {
+		return 0
+	}
+	return length
+}
