--- a/cmd/balancer/memory_test.go
+++ b/cmd/balancer/memory_test.go
@@ -178,3 +178,48 @@
 		})
 	}
 }
+
+// Guards against a node that is killed because its two processes together pass the memory limit, when it is upgraded
+// within a crowd of all kinds of peers.
+func TestMemoryLimitHoldsInAnUpgrade(t *testing.T) {
+	discovery, _ := startDiscovery(t)
+	config := nodeConfig{
+		listen:       freeAddress(t),
+		adminAddress: freeAddress(t),
+		discovery:    discovery,
+		memoryMB:     crowdMemoryMB,
+		sockets:      crowdSockets,
+		backend:      startBackend(t, serveAsAsked),
+		objectiveMS:  2500,
+		deadlineMS:   6000,
+	}
+	t.Setenv("TMPDIR", t.TempDir())
+	oldProcess, address := startWithoutRaceDetector(t, config.json())
+	var kinds []string
+	for kind := range peers {
+		kinds = append(kinds, kind)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		crowd(t, address, kinds)
+	}()
+	time.Sleep(crowdTime / 3)
+	config.adminAddress = freeAddress(t)
+	newProcess := newProcess(t, config.json())
+	newProcess.Path, newProcess.Args = oldProcess.Path, oldProcess.Args
+	newProcess.start(t)
+	peak := 0
+	for over := false; !over; {
+		select {
+		case <-ended:
+			over = true
+		case <-time.After(2 * time.Millisecond):
+		}
+		peak = max(peak, oldProcess.anonymousMemory(t)+newProcess.anonymousMemory(t))
+	}
+	t.Logf("at most %d kB of %d", peak, crowdMemoryMB<<10)
+	if peak > crowdMemoryMB<<10 {
+		t.Errorf("both processes took %d kB, want at most their limit of %d kB", peak, crowdMemoryMB<<10)
+	}
+}
